feat: whole thin path from caller to upstream and back

Cause: nothing existed. Change: commands, checked settings, published configuration under a manifest, fan-out with hedges and retries, tickets and orders, relay through the first home of a cold upstream, stand-ins and the demonstration.

--- /dev/null
+++ b/internal/command/demo/demo.go
@@ -0,0 +1,86 @@
+// Package demo holds the command that shows the whole system in one process.
+package demo
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+
+	"crocuswing/internal/demo/drive"
+	"crocuswing/internal/demo/report"
+	"crocuswing/internal/demo/site"
+	"crocuswing/internal/operator/log"
+
+	"github.com/google/subcommands"
+)
+
+// Command runs stand-ins and instances on loopback and judges the outcome.
+type Command struct {
+	stdout, stderr  io.Writer
+	queries, orders int
+	seed            uint64
+	json            bool
+	logLevel        string
+}
+
+// New makes the command.
+func New(stdout, stderr io.Writer) *Command { return &Command{stdout: stdout, stderr: stderr} }
+
+// Name is the word on the command line.
+func (*Command) Name() string { return "demo" }
+
+// Synopsis is one line of help.
+func (*Command) Synopsis() string { return "show the whole system in one process" }
+
+// Usage is the help text.
+func (*Command) Usage() string {
+	return `crocuswing demo [-queries N] [-orders N] [-seed N] [-json] [-log-level LEVEL]
+
+Runs a platform, upstreams and four instances on loopback, sends queries and orders as a
+caller would and judges the outcome by the stand-ins' own records. Exit 1 if a promise was broken.
+
+Example:
+  crocuswing demo -queries 500 -json
+
+`
+}
+
+// SetFlags defines the flags.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.IntVar(&c.queries, "queries", 2000, "number of queries, `N`")
+	f.IntVar(&c.orders, "orders", 500, "number of orders, `N`")
+	f.Uint64Var(&c.seed, "seed", 1, "seed of the service times, `N`")
+	f.BoolVar(&c.json, "json", false, "print one JSON object")
+	f.StringVar(&c.logLevel, "log-level", "error", "lowest `LEVEL` of the instances' logs")
+}
+
+// Execute runs the demonstration.
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.queries < 0 || c.orders < 0 || f.NArg() > 0 {
+		_, _ = fmt.Fprintln(c.stderr, "crocuswing demo: want counts of at least 0 and no further arguments")
+		return subcommands.ExitUsageError
+	}
+	r, err := c.run(ctx)
+	if err != nil {
+		_, _ = fmt.Fprintln(c.stderr, "crocuswing demo:", err)
+		return subcommands.ExitFailure
+	}
+	write := r.WriteTable
+	if c.json {
+		write = r.WriteJSON
+	}
+	if err := write(c.stdout); err != nil || r.Violations() > 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *Command) run(ctx context.Context) (report.Report, error) {
+	s, err := site.Start(log.New(c.stderr, c.logLevel), c.seed)
+	if err != nil {
+		return report.Report{}, err
+	}
+	defer s.Close()
+	return drive.New(s).Run(ctx, c.queries, c.orders), nil
+}
--- /dev/null
+++ b/internal/command/version/version.go
@@ -0,0 +1,41 @@
+// Package version holds the command that prints the version.
+package version
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/google/subcommands"
+)
+
+// Command prints the version of the program and of its compiler.
+type Command struct{ stdout io.Writer }
+
+// New makes the command.
+func New(stdout io.Writer) *Command { return &Command{stdout: stdout} }
+
+// Name is the word on the command line.
+func (*Command) Name() string { return "version" }
+
+// Synopsis is one line of help.
+func (*Command) Synopsis() string { return "print the version" }
+
+// Usage is the help text.
+func (*Command) Usage() string { return "crocuswing version\n" }
+
+// SetFlags defines no flags.
+func (*Command) SetFlags(*flag.FlagSet) {}
+
+// Execute prints the version.
+func (c *Command) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	module := "(devel)"
+	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+		module = info.Main.Version
+	}
+	_, _ = fmt.Fprintf(c.stdout, "crocuswing %s %s\n", module, runtime.Version())
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/config/acceptance/acceptance.go
@@ -0,0 +1,55 @@
+// Package acceptance decides which configuration comes into force and keeps it there.
+package acceptance
+
+import (
+	"fmt"
+	"sync"
+
+	"crocuswing/internal/config/set"
+)
+
+// Acceptance holds the configuration in force. It is safe for concurrent use.
+type Acceptance struct {
+	mu      sync.Mutex
+	current set.Set
+}
+
+// StaleError refuses a revision below the one in force.
+type StaleError struct{ Offered, InForce uint64 }
+
+// Error gives both revisions.
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("revision %d is below revision %d in force", e.Offered, e.InForce)
+}
+
+// ConflictError refuses other content under the revision in force.
+type ConflictError struct{ Revision uint64 }
+
+// Error gives the revision.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("revision %d is in force with other content", e.Revision)
+}
+
+// Current is the set in force; its revision is 0 before the first acceptance.
+func (a *Acceptance) Current() set.Set {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.current
+}
+
+// Accept brings s into force if its revision is higher and reports whether it did.
+// It fails with *StaleError or *ConflictError; the set in force then stays.
+func (a *Acceptance) Accept(s set.Set) (bool, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case s.Revision() < a.current.Revision():
+		return false, &StaleError{Offered: s.Revision(), InForce: a.current.Revision()}
+	case s.Revision() > a.current.Revision():
+		a.current = s
+		return true, nil
+	case s.Digest() != a.current.Digest():
+		return false, &ConflictError{Revision: s.Revision()}
+	}
+	return false, nil
+}
--- /dev/null
+++ b/internal/config/domain/domain.go
@@ -0,0 +1,20 @@
+// Package domain describes a failure domain and whether operators have taken it out.
+package domain
+
+import "errors"
+
+// Domain is one failure domain.
+type Domain struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+	// Out forbids all new work to the domain.
+	Out bool `json:"out"`
+}
+
+// Check refuses a domain without name or region.
+func (d Domain) Check() error {
+	if d.Name == "" || d.Region == "" {
+		return errors.New("name and region are required")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/preset/preset.go
@@ -0,0 +1,71 @@
+// Package preset holds the policy that operators switch as one piece.
+package preset
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Answer policies.
+const (
+	// PolicyCoverage waits for missing shards until the deadline.
+	PolicyCoverage = "coverage"
+	// PolicyTail answers after a quantile wait with the coverage reached.
+	PolicyTail = "tail"
+)
+
+const maxDeadlineMS = 60_000
+
+// Preset is one named policy. Shares are fractions of first attempts, quantiles lie in (0, 1).
+type Preset struct {
+	Name          string  `json:"name"`
+	DeadlineMS    int     `json:"deadline-ms"`
+	AnswerPolicy  string  `json:"answer-policy"`
+	TailWaitMS    int     `json:"tail-wait-ms,omitempty"`
+	HedgeQuantile float64 `json:"hedge-quantile"`
+	HedgeShare    float64 `json:"hedge-share"`
+	RetryShare    float64 `json:"retry-share"`
+	// BareOrders permits orders without a ticket, one execution per request.
+	BareOrders bool `json:"allow-orders-without-ticket,omitempty"`
+}
+
+// Deadline is the longest time a request may take.
+func (p Preset) Deadline() time.Duration {
+	return time.Duration(p.DeadlineMS) * time.Millisecond
+}
+
+// TailWait is the longest wait for missing shards under PolicyTail.
+func (p Preset) TailWait() time.Duration {
+	return time.Duration(p.TailWaitMS) * time.Millisecond
+}
+
+// Check refuses values out of range.
+func (p Preset) Check() error {
+	if p.Name == "" {
+		return errors.New("name is missing")
+	}
+	if p.DeadlineMS < 1 || p.DeadlineMS > maxDeadlineMS {
+		return fmt.Errorf("deadline-ms is %d, want 1 to %d", p.DeadlineMS, maxDeadlineMS)
+	}
+	if p.AnswerPolicy != PolicyCoverage && p.AnswerPolicy != PolicyTail {
+		return fmt.Errorf("answer-policy is %q, want %q or %q", p.AnswerPolicy, PolicyCoverage, PolicyTail)
+	}
+	if p.AnswerPolicy == PolicyTail && (p.TailWaitMS < 1 || p.TailWaitMS > p.DeadlineMS) {
+		return fmt.Errorf("tail-wait-ms is %d, want 1 to deadline-ms", p.TailWaitMS)
+	}
+	if p.HedgeQuantile <= 0 || p.HedgeQuantile >= 1 {
+		return fmt.Errorf("hedge-quantile is %g, want more than 0 and less than 1", p.HedgeQuantile)
+	}
+	return p.checkShares()
+}
+
+func (p Preset) checkShares() error {
+	if p.HedgeShare < 0 || p.HedgeShare > 1 {
+		return fmt.Errorf("hedge-share is %g, want 0 to 1", p.HedgeShare)
+	}
+	if p.RetryShare < 0 || p.RetryShare > 1 {
+		return fmt.Errorf("retry-share is %g, want 0 to 1", p.RetryShare)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/demo/report/report.go
@@ -0,0 +1,77 @@
+// Package report holds the verdict of a demonstration run.
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// Report counts what the stand-ins saw. Durations are in milliseconds.
+type Report struct {
+	Queries        int     `json:"queries"`
+	FailedQueries  int     `json:"failed-queries"`
+	MinCoverage    float64 `json:"min-coverage"`
+	FalseCoverage  int     `json:"false-coverage"`
+	MixedSnapshots int     `json:"mixed-snapshots"`
+	CrossedAnswers int     `json:"crossed-answers"`
+	Orders         int     `json:"orders"`
+	DoneOrders     int     `json:"done-orders"`
+	NotRunOrders   int     `json:"not-run-orders"`
+	UnknownOrders  int     `json:"unknown-orders"`
+	DoubledOrders  int     `json:"doubled-orders"`
+	LostOrders     int     `json:"lost-orders"`
+	FalseNotRun    int     `json:"false-not-run"`
+	ColdOverload   int     `json:"cold-overload"`
+	WorkAfterLeave int     `json:"work-after-leave"`
+	CutRequests    int     `json:"cut-requests"`
+	P50MS          float64 `json:"p50-ms"`
+	P99MS          float64 `json:"p99-ms"`
+	// ExtraLoad is the number of extra attempts as a share of first attempts.
+	ExtraLoad float64 `json:"extra-load"`
+	ElapsedMS int64   `json:"elapsed-ms"`
+}
+
+// Violations is the number of promises that were broken.
+func (r Report) Violations() int {
+	return r.FalseCoverage + r.MixedSnapshots + r.CrossedAnswers + r.DoubledOrders + r.LostOrders +
+		r.FalseNotRun + r.ColdOverload + r.WorkAfterLeave + r.CutRequests
+}
+
+// WriteJSON writes the report as one JSON object.
+func (r Report) WriteJSON(w io.Writer) error { return json.NewEncoder(w).Encode(r) }
+
+// WriteTable writes the report for a reader.
+func (r Report) WriteTable(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	rows := []struct {
+		name  string
+		value any
+	}{
+		{"queries", r.Queries},
+		{"failed queries", r.FailedQueries},
+		{"lowest coverage", r.MinCoverage},
+		{"false coverage", r.FalseCoverage},
+		{"mixed snapshots", r.MixedSnapshots},
+		{"crossed answers", r.CrossedAnswers},
+		{"orders", r.Orders},
+		{"orders done / not run / unknown", fmt.Sprintf("%d / %d / %d", r.DoneOrders, r.NotRunOrders, r.UnknownOrders)},
+		{"doubled orders", r.DoubledOrders},
+		{"lost orders", r.LostOrders},
+		{"false not-run", r.FalseNotRun},
+		{"cold overload", r.ColdOverload},
+		{"work after leave", r.WorkAfterLeave},
+		{"cut requests", r.CutRequests},
+		{"p50", fmt.Sprintf("%.1f ms", r.P50MS)},
+		{"p99", fmt.Sprintf("%.1f ms", r.P99MS)},
+		{"extra load", fmt.Sprintf("%.1f%%", 100*r.ExtraLoad)},
+		{"elapsed", fmt.Sprintf("%d ms", r.ElapsedMS)},
+	}
+	for _, row := range rows {
+		if _, err := fmt.Fprintf(table, "%s\t%v\n", row.name, row.value); err != nil {
+			return err
+		}
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/internal/entry/handler/handler.go
@@ -0,0 +1,260 @@
+// Package handler serves the contract with callers over HTTP.
+package handler
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"crocuswing/internal/config/caller"
+	"crocuswing/internal/config/class"
+	"crocuswing/internal/entry/admission"
+	"crocuswing/internal/fleet/view"
+	"crocuswing/internal/operator/metric"
+	"crocuswing/internal/order/desk"
+	"crocuswing/internal/order/outcome"
+	"crocuswing/internal/order/table"
+	"crocuswing/internal/order/ticket"
+	"crocuswing/internal/query/plan"
+	"crocuswing/internal/query/run"
+	"crocuswing/internal/wire/call"
+	"crocuswing/internal/wire/header"
+)
+
+const (
+	maxBodyBytes      = 1 << 20
+	retryAfterSeconds = "1"
+)
+
+// Viewer gives a view that is fresh enough for new work.
+type Viewer interface {
+	// Fresh refreshes the view if it is too old. It fails if that cannot be done before ctx ends.
+	Fresh(ctx context.Context) (view.View, error)
+}
+
+// Handler answers callers.
+type Handler struct {
+	viewer    Viewer
+	admission *admission.Admission
+	runner    *run.Runner
+	desk      *desk.Desk
+	metrics   *metric.Metrics
+	prefix    string
+	number    atomic.Uint64
+	mux       *http.ServeMux
+}
+
+// New makes a handler; prefix begins the identifiers of requests that bring none.
+func New(v Viewer, r *run.Runner, d *desk.Desk, m *metric.Metrics, prefix string) *Handler {
+	h := &Handler{
+		viewer:    v,
+		admission: admission.New(),
+		runner:    r,
+		desk:      d,
+		metrics:   m,
+		prefix:    prefix,
+		mux:       http.NewServeMux(),
+	}
+	h.mux.HandleFunc("POST /v1/search", h.serve("search", h.search))
+	h.mux.HandleFunc("POST /v1/lookup", h.serve("lookup", h.lookup))
+	h.mux.HandleFunc("POST /v1/tickets", h.serve("ticket", h.mint))
+	h.mux.HandleFunc("POST /v1/orders", h.serve("order", h.place))
+	h.mux.HandleFunc("GET /v1/orders/{ticket}", h.serve("ask", h.ask))
+	return h
+}
+
+// ServeHTTP answers one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
+
+// request is one admitted request of a caller.
+type request struct {
+	*http.Request
+	id     string
+	caller caller.Caller
+	class  class.Class
+	view   view.View
+}
+
+// refusal is an answer that states that nothing was run.
+type refusal struct {
+	status int
+	reason string
+}
+
+func (e *refusal) Error() string { return e.reason }
+
+// serve identifies the caller, pins the view and answers with JSON.
+func (h *Handler) serve(kind string, answer func(request) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		start := time.Now()
+		id := r.Header.Get(header.RequestID)
+		if id == "" {
+			id = fmt.Sprintf("%s-%d", h.prefix, h.number.Add(1))
+		}
+		w.Header().Set(header.RequestID, id)
+		ctx, cancel, err := withDeadline(r)
+		if err != nil {
+			h.refuse(w, id, err)
+			return
+		}
+		defer cancel()
+		q, err := h.identify(r.WithContext(ctx), id)
+		if err != nil {
+			h.refuse(w, id, err)
+			return
+		}
+		value, err := answer(q)
+		h.metrics.Observe(q.caller.Name, q.class.Name, kind, time.Since(start), err == nil)
+		if err != nil {
+			h.refuse(w, id, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, value)
+	}
+}
+
+func (h *Handler) identify(r *http.Request, id string) (request, error) {
+	v, err := h.viewer.Fresh(r.Context())
+	if err != nil {
+		return request{}, &refusal{status: http.StatusServiceUnavailable, reason: err.Error()}
+	}
+	c, cl, ok := v.Config().CallerByKey(r.Header.Get(header.CallerKey))
+	if !ok {
+		return request{}, &refusal{status: http.StatusUnauthorized, reason: "the caller's key is not known"}
+	}
+	return request{Request: r, id: id, caller: c, class: cl, view: v}, nil
+}
+
+func (h *Handler) search(q request) (any, error) {
+	var m call.Search
+	if err := readJSON(q, &m); err != nil {
+		return nil, err
+	}
+	return h.query(q, run.Query{RequestID: q.id, Service: m.Service, Query: m.Query})
+}
+
+func (h *Handler) lookup(q request) (any, error) {
+	var m call.Lookup
+	if err := readJSON(q, &m); err != nil {
+		return nil, err
+	}
+	if m.Key == "" {
+		return nil, &refusal{status: http.StatusBadRequest, reason: "key is missing"}
+	}
+	return h.query(q, run.Query{RequestID: q.id, Service: m.Service, Key: m.Key})
+}
+
+func (h *Handler) query(q request, rq run.Query) (any, error) {
+	cost := 1
+	if s, ok := q.view.Config().Service(rq.Service); ok && rq.Key == "" {
+		cost = len(s.Current().Shards)
+	}
+	release, err := h.admission.Admit(q.caller.Name, q.class, cost)
+	if err != nil {
+		return nil, err
+	}
+	defer release()
+	return h.runner.Run(q.Context(), q.view, rq)
+}
+
+func (h *Handler) mint(q request) (any, error) {
+	var m call.TicketRequest
+	if err := readJSON(q, &m); err != nil {
+		return nil, err
+	}
+	if _, ok := q.view.Config().Service(m.Service); !ok {
+		return nil, &refusal{status: http.StatusNotFound, reason: "there is no service " + m.Service}
+	}
+	text, expires, err := h.desk.Mint(q.caller.Name, m.Service, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	return call.Ticket{Ticket: text, ExpiresMS: expires.UnixMilli()}, nil
+}
+
+func (h *Handler) place(q request) (any, error) {
+	var m call.Order
+	if err := readJSON(q, &m); err != nil {
+		return nil, err
+	}
+	release, err := h.admission.Admit(q.caller.Name, q.class, 1)
+	if err != nil {
+		return nil, err
+	}
+	defer release()
+	return h.desk.Place(q.Context(), q.view, desk.Placement{
+		Ticket:  m.Ticket,
+		Caller:  q.caller.Name,
+		Service: m.Service,
+		Key:     m.Key,
+		Body:    m.Body,
+	})
+}
+
+func (h *Handler) ask(q request) (any, error) {
+	return h.desk.Place(q.Context(), q.view, desk.Placement{Ticket: q.PathValue("ticket"), Caller: q.caller.Name, Ask: true})
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, id string, err error) {
+	status := statusOf(err)
+	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfterSeconds)
+	}
+	writeJSON(w, status, call.Refusal{RequestID: id, Outcome: outcome.NotRun, Reason: err.Error()})
+}
+
+func statusOf(err error) int {
+	var r *refusal
+	var overload *admission.Error
+	var badTicket *ticket.Error
+	var badOrder *table.Error
+	var noService *plan.ServiceError
+	switch {
+	case errors.As(err, &r):
+		return r.status
+	case errors.As(err, &overload):
+		return http.StatusTooManyRequests
+	case errors.As(err, &badTicket):
+		return http.StatusForbidden
+	case errors.As(err, &badOrder):
+		return http.StatusConflict
+	case errors.As(err, &noService):
+		return http.StatusNotFound
+	}
+	return http.StatusServiceUnavailable
+}
+
+// withDeadline applies the time left that the caller states in a header.
+func withDeadline(r *http.Request) (context.Context, context.CancelFunc, error) {
+	text := r.Header.Get(header.DeadlineMS)
+	if text == "" {
+		ctx, cancel := context.WithCancel(r.Context())
+		return ctx, cancel, nil
+	}
+	left, err := strconv.Atoi(text)
+	if err != nil || left < 1 {
+		return nil, nil, &refusal{status: http.StatusBadRequest, reason: header.DeadlineMS + " is not a positive number"}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(left)*time.Millisecond)
+	return ctx, cancel, nil
+}
+
+func readJSON(q request, v any) error {
+	dec := json.NewDecoder(http.MaxBytesReader(nil, q.Body, maxBodyBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return &refusal{status: http.StatusBadRequest, reason: "body: " + err.Error()}
+	}
+	return nil
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/settings/process/process.go
@@ -0,0 +1,113 @@
+// Package process holds the settings of one instance, read from JSON with comments.
+package process
+
+import (
+	"net/netip"
+	"slices"
+
+	"crocuswing/internal/settings/document"
+)
+
+const (
+	minTicketKeyBytes   = 16
+	defaultDrainDelayMS = 2_000
+	maxDrainDelayMS     = 60_000
+)
+
+// Settings are the settings of one instance. Addresses are "IP:port" literals.
+type Settings struct {
+	Instance        string   `json:"instance"`
+	FailureDomain   string   `json:"failure-domain"`
+	Region          string   `json:"region"`
+	CallerAddress   string   `json:"caller-address"`
+	PeerAddress     string   `json:"peer-address"`
+	OperatorAddress string   `json:"operator-address"`
+	PlatformAddress string   `json:"platform-address"`
+	Peers           []string `json:"peers"`
+	TicketKey       string   `json:"ticket-key"`
+	DrainDelayMS    int      `json:"drain-delay-ms"`
+	LogLevel        string   `json:"log-level"`
+}
+
+// Load reads and checks a settings file. It fails with *document.Error.
+func Load(file string) (Settings, error) {
+	doc, err := document.Read(file)
+	if err != nil {
+		return Settings{}, err
+	}
+	return Parse(doc)
+}
+
+// Parse decodes and checks a settings document. It fails with *document.Error.
+func Parse(doc document.Document) (Settings, error) {
+	s := Settings{LogLevel: "info", DrainDelayMS: defaultDrainDelayMS}
+	if err := doc.Decode(&s); err != nil {
+		return Settings{}, err
+	}
+	if err := s.checkNames(doc); err != nil {
+		return Settings{}, err
+	}
+	return s, s.checkAddresses(doc)
+}
+
+func (s Settings) checkNames(doc document.Document) error {
+	required := []struct{ key, value string }{
+		{"instance", s.Instance},
+		{"failure-domain", s.FailureDomain},
+		{"region", s.Region},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			return doc.Fault(r.key, "is missing")
+		}
+	}
+	if len(s.TicketKey) < minTicketKeyBytes {
+		return doc.Fault("ticket-key", "needs at least 16 bytes")
+	}
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, s.LogLevel) {
+		return doc.Fault("log-level", "want debug, info, warn or error")
+	}
+	if s.DrainDelayMS < 0 || s.DrainDelayMS > maxDrainDelayMS {
+		return doc.Fault("drain-delay-ms", "want 0 to 60000")
+	}
+	return nil
+}
+
+func (s Settings) checkAddresses(doc document.Document) error {
+	addresses := []struct{ key, value string }{
+		{"caller-address", s.CallerAddress},
+		{"peer-address", s.PeerAddress},
+		{"operator-address", s.OperatorAddress},
+		{"platform-address", s.PlatformAddress},
+	}
+	seen := make(map[string]string)
+	for _, a := range addresses {
+		if err := checkAddress(doc, a.key, a.value); err != nil {
+			return err
+		}
+		if other, ok := seen[a.value]; ok {
+			return doc.Fault(a.key, "is the same address as "+other)
+		}
+		seen[a.value] = a.key
+	}
+	for _, peer := range s.Peers {
+		if err := checkAddress(doc, "peers", peer); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkAddress(doc document.Document, key, value string) error {
+	if value == "" {
+		return doc.Fault(key, "is missing")
+	}
+	addr, err := netip.ParseAddrPort(value)
+	if err != nil {
+		return doc.Fault(key, "want an IP literal and a port from 1 to 65535, not "+value)
+	}
+	if addr.Port() == 0 {
+		return doc.Fault(key, "port 0 is out of range")
+	}
+	return nil
+}
