--- a/internal/config/preset/preset.go
+++ b/internal/config/preset/preset.go
@@ -15,14 +15,19 @@
 	PolicyTail = "tail"
 )
 
-const maxDeadlineMS = 60_000
+const (
+	maxDeadlineMS       = 60_000
+	defaultTailQuantile = 0.999
+)
 
 // Preset is one named policy. Shares are fractions of first attempts, quantiles lie in (0, 1).
 type Preset struct {
-	Name          string  `json:"name"`
-	DeadlineMS    int     `json:"deadline-ms"`
-	AnswerPolicy  string  `json:"answer-policy"`
-	TailWaitMS    int     `json:"tail-wait-ms,omitempty"`
+	Name         string `json:"name"`
+	DeadlineMS   int    `json:"deadline-ms"`
+	AnswerPolicy string `json:"answer-policy"`
+	TailWaitMS   int    `json:"tail-wait-ms,omitempty"`
+	// TailQuantile is the share of a service's recent attempts that PolicyTail waits for; 0 means 0.999.
+	TailQuantile  float64 `json:"tail-quantile,omitempty"`
 	HedgeQuantile float64 `json:"hedge-quantile"`
 	HedgeShare    float64 `json:"hedge-share"`
 	RetryShare    float64 `json:"retry-share"`
@@ -40,6 +45,17 @@
 	return time.Duration(p.TailWaitMS) * time.Millisecond
 }
 
+// IsTail tells whether answers do not wait to the deadline for missing shards.
+func (p Preset) IsTail() bool { return p.AnswerPolicy == PolicyTail }
+
+// TailShare is the share of a service's recent attempts that PolicyTail waits for.
+func (p Preset) TailShare() float64 {
+	if p.TailQuantile == 0 {
+		return defaultTailQuantile
+	}
+	return p.TailQuantile
+}
+
 // Check refuses values out of range.
 func (p Preset) Check() error {
 	if p.Name == "" {
@@ -54,6 +70,9 @@
 	if p.AnswerPolicy == PolicyTail && (p.TailWaitMS < 1 || p.TailWaitMS > p.DeadlineMS) {
 		return fmt.Errorf("tail-wait-ms is %d, want 1 to deadline-ms", p.TailWaitMS)
 	}
+	if p.TailQuantile < 0 || p.TailQuantile >= 1 {
+		return fmt.Errorf("tail-quantile is %g, want 0 to less than 1", p.TailQuantile)
+	}
 	if p.HedgeQuantile <= 0 || p.HedgeQuantile >= 1 {
 		return fmt.Errorf("hedge-quantile is %g, want more than 0 and less than 1", p.HedgeQuantile)
 	}
--- a/internal/entry/handler/handler.go
+++ b/internal/entry/handler/handler.go
@@ -20,6 +20,8 @@
 	"crocuswing/internal/order/outcome"
 	"crocuswing/internal/order/table"
 	"crocuswing/internal/order/ticket"
+	"crocuswing/internal/query/answer"
+	"crocuswing/internal/query/flight"
 	"crocuswing/internal/query/plan"
 	"crocuswing/internal/query/run"
 	"crocuswing/internal/wire/call"
@@ -42,6 +44,7 @@
 	viewer    Viewer
 	admission *admission.Admission
 	runner    *run.Runner
+	flight    *flight.Flight
 	desk      *desk.Desk
 	metrics   *metric.Metrics
 	prefix    string
@@ -55,6 +58,7 @@
 		viewer:    v,
 		admission: admission.New(),
 		runner:    r,
+		flight:    flight.New(),
 		desk:      d,
 		metrics:   m,
 		prefix:    prefix,
@@ -159,7 +163,18 @@
 		return nil, err
 	}
 	defer release()
-	return h.runner.Run(q.Context(), q.view, rq)
+	k := flight.Key{
+		Caller:   q.caller.Name,
+		Revision: q.view.Config().Revision(),
+		Service:  rq.Service,
+		Query:    rq.Query,
+		Key:      rq.Key,
+	}
+	a, err := h.flight.Do(q.Context(), k, q.view.Config().Preset().Deadline(), func(ctx context.Context) (answer.Answer, error) {
+		return h.runner.Run(ctx, q.view, rq)
+	})
+	a.RequestID = q.id
+	return a, err
 }
 
 func (h *Handler) mint(q request) (any, error) {
--- /dev/null
+++ b/internal/index/absence/absence_test.go
@@ -0,0 +1,33 @@
+package absence_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"crocuswing/internal/index/absence"
+
+	"github.com/stretchr/testify/require"
+)
+
+func ExampleAbsence() {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	a := absence.New()
+	a.Add("search", "n1", now)
+	fmt.Println(a.Snapshots("search", now.Add(999*time.Millisecond)))
+	fmt.Println(a.Snapshots("search", now.Add(time.Second)))
+	// Output:
+	// [n1]
+	// []
+}
+
+func TestAbsence(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	a := absence.New()
+	for n := range 3000 {
+		a.Add("search", fmt.Sprintf("n%d", n%3), now.Add(time.Duration(n)*time.Millisecond))
+	}
+	require.ElementsMatch(t, []string{"n0", "n1", "n2"}, a.Snapshots("search", now.Add(3*time.Second)))
+	require.Empty(t, a.Snapshots("orders", now))
+	require.Empty(t, a.Snapshots("search", now.Add(4*time.Second)))
+}
--- a/internal/policy/budget/budget.go
+++ b/internal/policy/budget/budget.go
@@ -1,31 +1,59 @@
 // Package budget limits extra attempts to a share of first attempts.
+//
+// A token bucket that first attempts fill, with a small rate besides, follows the retry budgets of
+// Finagle, https://twitter.github.io/finagle/guide/Clients.html#retries.
 package budget
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
+
+// burst is the number of queries' worth of tokens that a budget holds for large queries.
+const burst = 8
 
 // Budget is a token bucket filled by first attempts. It is safe for concurrent use.
 type Budget struct {
+	most float64
+	rate float64 // tokens a second
+
 	mu     sync.Mutex
 	tokens float64
-	most   float64
+	filled time.Time
 }
 
-// New makes a full budget that holds at most most tokens.
-func New(most float64) *Budget {
-	return &Budget{tokens: most, most: most}
+// Option changes how a budget is made.
+type Option func(*Budget)
+
+// WithTokens starts the budget with n tokens in place of none.
+func WithTokens(n float64) Option { return func(b *Budget) { b.tokens = n } }
+
+// WithRate adds perSecond tokens each second, whatever the number of first attempts.
+func WithRate(perSecond float64) Option { return func(b *Budget) { b.rate = perSecond } }
+
+// New makes an empty budget that holds at most most tokens, or 8 queries' worth if that is more.
+func New(most float64, options ...Option) *Budget {
+	b := &Budget{most: most, filled: time.Now()}
+	for _, o := range options {
+		o(b)
+	}
+	return b
 }
 
-// Earn adds share tokens for each of n first attempts.
+// Earn adds share tokens for each of the n first attempts of a query.
 func (b *Budget) Earn(n int, share float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.most, b.tokens+share*float64(n))
+	b.fill()
+	earned := share * float64(n)
+	b.tokens = max(b.tokens, min(max(b.most, burst*earned), b.tokens+earned))
 }
 
 // Spend takes one token and reports whether there was one.
 func (b *Budget) Spend() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.fill()
 	if b.tokens < 1 {
 		return false
 	}
@@ -37,5 +65,16 @@
 func (b *Budget) Tokens() float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.fill()
 	return b.tokens
 }
+
+func (b *Budget) fill() {
+	if b.rate == 0 {
+		return
+	}
+	now := time.Now()
+	earned := b.rate * now.Sub(b.filled).Seconds()
+	b.tokens = max(b.tokens, min(b.most, b.tokens+earned))
+	b.filled = now
+}
--- /dev/null
+++ b/internal/policy/budget/budget_test.go
@@ -0,0 +1,64 @@
+package budget_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"crocuswing/internal/policy/budget"
+
+	"github.com/stretchr/testify/require"
+)
+
+func ExampleBudget() {
+	b := budget.New(20)
+	b.Earn(60, 0.05) // a query over 60 shards earns 3 extra attempts
+	for range 4 {
+		fmt.Println(b.Spend())
+	}
+	// Output:
+	// true
+	// true
+	// true
+	// false
+}
+
+func TestSpendingStaysWithinTheShare(t *testing.T) {
+	const shards, share = 20, 0.05
+	b := budget.New(20)
+	first, extra := 0, 0
+	for n := range 1000 {
+		b.Earn(shards, share)
+		first += shards
+		for range (n * 7) % 5 { // uneven demand, twice the share on average
+			if b.Spend() {
+				extra++
+			}
+		}
+		require.LessOrEqual(t, float64(extra), share*float64(first))
+	}
+	require.Greater(t, float64(extra), 0.9*share*float64(first))
+}
+
+func TestLargeQueriesRaiseTheBound(t *testing.T) {
+	b := budget.New(20)
+	for range 100 {
+		b.Earn(1100, 0.05)
+	}
+	require.InDelta(t, 8*55, b.Tokens(), 0.001)
+	b.Earn(20, 0.05)
+	require.InDelta(t, 8*55, b.Tokens(), 0.001, "a small query takes nothing away")
+}
+
+func TestRateFillsAnIdleBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := budget.New(20, budget.WithTokens(1), budget.WithRate(10))
+		require.True(t, b.Spend())
+		require.False(t, b.Spend())
+		time.Sleep(100 * time.Millisecond)
+		require.True(t, b.Spend())
+		time.Sleep(time.Hour)
+		require.InDelta(t, 20, b.Tokens(), 0.001)
+	})
+}
--- a/internal/query/gather/gather.go
+++ b/internal/query/gather/gather.go
@@ -2,51 +2,86 @@
 package gather
 
 import (
+	"errors"
+
 	"crocuswing/internal/index/shard"
 	"crocuswing/internal/query/coverage"
 	"crocuswing/internal/wire/part"
 )
 
+// Verdict tells what became of a part.
+type Verdict string
+
+// Verdicts on a part.
+const (
+	// Counted parts are in the answer.
+	Counted Verdict = "counted"
+	// Duplicate parts are of a shard that has its part: the other replica was faster.
+	Duplicate Verdict = "duplicate"
+	// Crossed parts belong to another request, shard or snapshot.
+	Crossed Verdict = "crossed"
+	// Incomplete parts do not hold the rows that they declare.
+	Incomplete Verdict = "incomplete"
+)
+
 // Gather holds the parts of one snapshot. It is not safe for concurrent use.
 type Gather struct {
 	snapshot string
 	shards   []shard.Shard
-	index    map[string]int
-	parts    []*part.Reply
+	parts    [][]string // rows by shard; nil while missing
 	answered int
+	rows     int
 	dropped  int
 }
 
+// noRows is the part of a shard without rows.
+var noRows = make([]string, 0)
+
 // New makes an empty gather for the shards of one snapshot.
 func New(snapshot string, shards []shard.Shard) *Gather {
-	g := &Gather{
-		snapshot: snapshot,
-		shards:   shards,
-		index:    make(map[string]int, len(shards)),
-		parts:    make([]*part.Reply, len(shards)),
-	}
-	for i, s := range shards {
-		g.index[s.Name] = i
-	}
-	return g
+	return &Gather{snapshot: snapshot, shards: shards, parts: make([][]string, len(shards))}
 }
 
-// Add takes a part and reports whether it counts: it belongs to the snapshot and is whole,
-// and the shard has no part yet.
-func (g *Gather) Add(r part.Reply) bool {
-	i, ok := g.index[r.Shard]
-	if !ok || r.Snapshot != g.snapshot || r.Count != len(r.Rows) || g.parts[i] != nil {
+// Add takes the reply to a request for the shard at index i. It counts if it is whole, answers just this
+// request and the shard has no part yet.
+func (g *Gather) Add(i int, q part.Request, r part.Reply) Verdict {
+	v := g.judge(i, q, r)
+	if v != Counted {
 		g.dropped++
-		return false
+		return v
+	}
+	g.parts[i] = r.Rows
+	if r.Rows == nil {
+		g.parts[i] = noRows
 	}
-	g.parts[i] = &r
 	g.answered++
-	return true
+	g.rows += len(r.Rows)
+	return v
+}
+
+func (g *Gather) judge(i int, q part.Request, r part.Reply) Verdict {
+	if q.Snapshot != g.snapshot || q.Shard != g.shards[i].Name {
+		return Crossed
+	}
+	if err := r.Check(q); err != nil {
+		var crossed *part.CrossedError
+		if errors.As(err, &crossed) {
+			return Crossed
+		}
+		return Incomplete
+	}
+	if g.parts[i] != nil {
+		return Duplicate
+	}
+	return Counted
 }
 
 // Has tells whether the shard at index i has its part.
 func (g *Gather) Has(i int) bool { return g.parts[i] != nil }
 
+// Answered is the number of shards that have their part.
+func (g *Gather) Answered() int { return g.answered }
+
 // IsWhole tells whether every shard has its part.
 func (g *Gather) IsWhole() bool { return g.answered == len(g.shards) }
 
@@ -66,17 +101,9 @@
 
 // Rows gives all rows in the order of the shards.
 func (g *Gather) Rows() []string {
-	n := 0
+	rows := make([]string, 0, g.rows)
 	for _, p := range g.parts {
-		if p != nil {
-			n += len(p.Rows)
-		}
-	}
-	rows := make([]string, 0, n)
-	for _, p := range g.parts {
-		if p != nil {
-			rows = append(rows, p.Rows...)
-		}
+		rows = append(rows, p...)
 	}
 	return rows
 }
--- /dev/null
+++ b/internal/query/gather/gather_test.go
@@ -0,0 +1,119 @@
+package gather_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+
+	"crocuswing/internal/index/shard"
+	"crocuswing/internal/query/gather"
+	"crocuswing/internal/wire/part"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func shards(n int) []shard.Shard {
+	all := make([]shard.Shard, n)
+	for i := range all {
+		all[i] = shard.Shard{Name: fmt.Sprintf("s-%d", i), Replicas: []string{"a", "b"}}
+	}
+	return all
+}
+
+func ExampleGather() {
+	g := gather.New("n1", shards(2))
+	q := part.Request{RequestID: "r/1", Service: "search", Shard: "s-0", Snapshot: "n1", Query: "cotton"}
+	r := part.Reply{RequestID: "r/1", Service: "search", Shard: "s-0", Snapshot: "n1", Count: 1, Rows: []string{"row"}}
+	fmt.Println(g.Add(0, q, r), g.Add(0, q, r))
+	c := g.Coverage()
+	fmt.Println(c.Answered, "of", c.Total, "missing", c.Missing)
+	// Output:
+	// counted duplicate
+	// 1 of 2 missing [s-1]
+}
+
+// naive keeps every part that fits, looking through all of them each time.
+type naive struct{ kept []part.Reply }
+
+func (n *naive) add(i int, all []shard.Shard, q part.Request, r part.Reply) bool {
+	fits := q.Shard == all[i].Name && q.Snapshot == "n1" && r.RequestID == q.RequestID && r.Service == q.Service &&
+		r.Shard == q.Shard && r.Snapshot == q.Snapshot && r.Count == len(r.Rows)
+	for _, k := range n.kept {
+		fits = fits && k.Shard != r.Shard
+	}
+	if fits {
+		n.kept = append(n.kept, r)
+	}
+	return fits
+}
+
+func (n *naive) rows(all []shard.Shard) []string {
+	rows := make([]string, 0)
+	for _, s := range all {
+		for _, k := range n.kept {
+			if k.Shard == s.Name {
+				rows = append(rows, k.Rows...)
+			}
+		}
+	}
+	return rows
+}
+
+// TestModel adds random replies, some of them crossed, cut, doubled or of another snapshot.
+func TestModel(t *testing.T) {
+	require.NoError(t, flag.Set("rapid.seed", "4"))
+	rapid.Check(t, func(t *rapid.T) {
+		all := shards(rapid.IntRange(1, 8).Draw(t, "shards"))
+		g, model, dropped := gather.New("n1", all), &naive{}, 0
+		names := rapid.SampledFrom([]string{"s-0", "s-1", "s-2", "s-3", "s-7", "s-99", ""})
+		snapshots := rapid.SampledFrom([]string{"n1", "n1", "n1", "n2", ""})
+		ids := rapid.SampledFrom([]string{"r/1", "r/1", "r/1", "r/2"})
+		for range rapid.IntRange(0, 30).Draw(t, "replies") {
+			i := rapid.IntRange(0, len(all)-1).Draw(t, "index")
+			q := part.Request{RequestID: "r/1", Service: "search", Shard: all[i].Name, Snapshot: "n1"}
+			r := part.Reply{RequestID: "r/1", Service: "search", Shard: all[i].Name, Snapshot: "n1"}
+			r.Rows = rapid.SliceOfN(rapid.StringMatching("[a-z]"), 0, 3).Draw(t, "rows")
+			r.Count = len(r.Rows)
+			switch rapid.IntRange(0, 6).Draw(t, "fault") {
+			case 0:
+				r.Shard = names.Draw(t, "shard")
+			case 1:
+				r.Snapshot = snapshots.Draw(t, "snapshot")
+			case 2:
+				r.RequestID = ids.Draw(t, "id")
+			case 3:
+				r.Count = rapid.IntRange(-1, 4).Draw(t, "count")
+			case 4:
+				r.Snapshot = snapshots.Draw(t, "both snapshots")
+				q.Snapshot = r.Snapshot
+			default:
+			}
+			counted := model.add(i, all, q, r)
+			if !counted {
+				dropped++
+			}
+			require.Equal(t, counted, g.Add(i, q, r) == gather.Counted)
+			compare(t, g, model, all)
+			require.Equal(t, dropped, g.Dropped())
+		}
+	})
+}
+
+func compare(t *rapid.T, g *gather.Gather, model *naive, all []shard.Shard) {
+	c := g.Coverage()
+	require.Equal(t, len(all), c.Total)
+	require.Equal(t, len(model.kept), c.Answered)
+	require.Len(t, c.Missing, c.Total-c.Answered)
+	for i, s := range all {
+		has := false
+		for _, k := range model.kept {
+			has = has || k.Shard == s.Name
+		}
+		require.Equal(t, has, g.Has(i))
+		require.Equal(t, !has, slices.Contains(c.Missing, s.Name))
+	}
+	require.Equal(t, c.Answered == c.Total, g.IsWhole())
+	require.Equal(t, model.rows(all), g.Rows())
+}
--- a/internal/query/plan/plan.go
+++ b/internal/query/plan/plan.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"crocuswing/internal/config/preset"
 	"crocuswing/internal/config/service"
@@ -37,14 +38,14 @@
 	return of(cfg, s.Name, s.Current(), key), nil
 }
 
-// Without plans the query anew on the newest snapshot besides the one that is gone.
-func Without(cfg set.Set, name, key, gone string) (Plan, bool) {
+// Without plans the query anew on the newest snapshot of cfg besides those that are gone.
+func Without(cfg set.Set, name, key string, gone []string) (Plan, bool) {
 	s, ok := cfg.Service(name)
-	if !ok {
+	if !ok || s.Kind != service.KindSearch {
 		return Plan{}, false
 	}
 	for _, l := range s.Layouts {
-		if l.Snapshot != gone {
+		if !slices.Contains(gone, l.Snapshot) {
 			return of(cfg, s.Name, l, key), true
 		}
 	}
--- /dev/null
+++ b/internal/query/run/naive_test.go
@@ -0,0 +1,64 @@
+package run_test
+
+import (
+	"context"
+
+	"crocuswing/internal/fleet/view"
+	"crocuswing/internal/query/answer"
+	"crocuswing/internal/query/gather"
+	"crocuswing/internal/query/plan"
+	"crocuswing/internal/query/run"
+	"crocuswing/internal/wire/part"
+)
+
+// policy answers queries.
+type policy interface {
+	Run(ctx context.Context, v view.View, q run.Query) (answer.Answer, error)
+}
+
+// naive sends each shard to its first replica once and waits for all of them or the deadline.
+type naive struct{ sender *sender }
+
+func (n naive) Run(ctx context.Context, v view.View, q run.Query) (answer.Answer, error) {
+	p, err := plan.New(v.Config(), q.Service, q.Key)
+	if err != nil {
+		return answer.Answer{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.Preset.Deadline())
+	defer cancel()
+	type result struct {
+		shard int
+		q     part.Request
+		r     part.Reply
+		err   error
+	}
+	results := make(chan result, len(p.Shards))
+	for i, s := range p.Shards {
+		m := part.Request{RequestID: q.RequestID + s.Name, Service: q.Service, Shard: s.Name, Snapshot: p.Snapshot, Query: q.Query, Key: q.Key}
+		go func() {
+			r, err := n.sender.Part(ctx, s.Replicas[0], m)
+			results <- result{shard: i, q: m, r: r, err: err}
+		}()
+	}
+	g := gather.New(p.Snapshot, p.Shards)
+wait:
+	for range p.Shards {
+		select {
+		case res := <-results:
+			if res.err == nil {
+				g.Add(res.shard, res.q, res.r)
+			}
+		case <-ctx.Done():
+			break wait
+		}
+	}
+	return answer.Answer{RequestID: q.RequestID, Snapshot: p.Snapshot, Coverage: g.Coverage(), Rows: g.Rows()}, nil
+}
+
+func (r *rig) naives() []policy {
+	all := make([]policy, len(r.senders))
+	for i, s := range r.senders {
+		all[i] = naive{sender: s}
+	}
+	return all
+}
--- a/internal/query/run/run.go
+++ b/internal/query/run/run.go
@@ -1,50 +1,77 @@
 // Package run executes one query: it fans out, hedges, retries and gathers within the deadline.
+//
+// Hedged requests are due to Dean and Barroso, "The tail at scale", Communications of the ACM 56(2), 2013.
 package run
 
 import (
 	"context"
 	"errors"
-	"fmt"
+	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"crocuswing/internal/fleet/view"
+	"crocuswing/internal/index/absence"
 	"crocuswing/internal/index/shard"
 	"crocuswing/internal/policy/budget"
 	"crocuswing/internal/query/answer"
-	"crocuswing/internal/query/gather"
+	"crocuswing/internal/query/choice"
 	"crocuswing/internal/query/plan"
+	"crocuswing/internal/stats/history"
 	"crocuswing/internal/stats/window"
-	"crocuswing/internal/upstream/failure"
 	"crocuswing/internal/wire/part"
 )
 
 const (
-	budgetTokens     = 20
-	defaultHedgeWait = 50 * time.Millisecond
-	minHedgeWait     = time.Millisecond
+	budgetTokens   = 20 // most tokens of each budget while queries are small
+	retryRate      = 10 // tokens a second that the retry budget gets besides its share
+	minReplyTime   = 2 * time.Millisecond
+	maxReplyTime   = 10 * time.Millisecond
+	replyTimeShare = 50 // the way back to the caller gets a fiftieth of the time left
 )
 
-// Sender chooses upstreams and sends attempts to them.
+// Sender knows the replicas and sends attempts to them.
 type Sender interface {
-	// Choose picks a replica that may get new work, besides those in tried.
-	Choose(s shard.Shard, tried []string) (string, bool)
-	// MayHedge tells whether an extra attempt may go to the upstream.
-	MayHedge(upstream string) bool
+	// Candidates appends what is known of each replica of s to buf.
+	Candidates(buf []choice.Candidate, s shard.Shard) []choice.Candidate
 	// Part sends one attempt. It fails with *failure.Failure.
 	Part(ctx context.Context, upstream string, q part.Request) (part.Reply, error)
 }
 
+// Meter counts events by the name of their metric.
+type Meter interface{ Count(name string) }
+
 // Runner executes queries. It is safe for concurrent use.
 type Runner struct {
 	sender  Sender
+	meter   Meter
+	current func() view.View
+	intn    func(n int) int
+	history *history.History
+	absence *absence.Absence
 	hedges  *budget.Budget
 	retries *budget.Budget
-	times   window.Window
 	first   atomic.Int64
 	extra   atomic.Int64
+	number  atomic.Uint64
+
+	mu    sync.Mutex
+	times map[string]*window.Window // by service
 }
 
+// Option changes how a runner is made.
+type Option func(*Runner)
+
+// WithMeter counts hedges, retries, probes, restarts and dropped parts.
+func WithMeter(m Meter) Option { return func(r *Runner) { r.meter = m } }
+
+// WithCurrent lets a query whose revision has no snapshot left go on under the current view.
+func WithCurrent(current func() view.View) Option { return func(r *Runner) { r.current = current } }
+
+// WithRandom replaces the source of random numbers; intn gives one below n.
+func WithRandom(intn func(n int) int) Option { return func(r *Runner) { r.intn = intn } }
+
 // Query is one search, or a lookup if Key is set.
 type Query struct {
 	RequestID string
@@ -53,202 +80,110 @@
 	Key       string
 }
 
+type silent struct{}
+
+func (silent) Count(string) {}
+
 // New makes a runner.
-func New(s Sender) *Runner {
-	return &Runner{sender: s, hedges: budget.New(budgetTokens), retries: budget.New(budgetTokens)}
+func New(s Sender, options ...Option) *Runner {
+	r := &Runner{
+		sender:  s,
+		meter:   silent{},
+		intn:    rand.IntN,
+		history: history.New(),
+		absence: absence.New(),
+		hedges:  budget.New(budgetTokens),
+		retries: budget.New(budgetTokens, budget.WithTokens(budgetTokens), budget.WithRate(retryRate)),
+		times:   make(map[string]*window.Window),
+	}
+	for _, o := range options {
+		o(r)
+	}
+	return r
 }
 
 // Attempts gives the number of first and of extra attempts so far.
 func (r *Runner) Attempts() (first, extra int64) { return r.first.Load(), r.extra.Load() }
 
-// Run answers q under the configuration of v until ctx ends or the preset's deadline passes.
+// Run answers q under the configuration of v until shortly before ctx ends or the preset's deadline passes.
 // A missing shard is no error; it fails with *plan.ServiceError or because ctx was canceled.
+//
+// If the snapshot is gone from the upstreams, the query starts again on another one of the same revision,
+// else on one of the current revision. The answer is the best of all rounds.
 func (r *Runner) Run(ctx context.Context, v view.View, q Query) (answer.Answer, error) {
-	p, err := plan.New(v.Config(), q.Service, q.Key)
+	start := time.Now()
+	p, err := r.plan(v, q, start)
 	if err != nil {
 		return answer.Answer{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, p.Preset.Deadline())
+	ctx, cancel := withReplyTime(ctx, start, p.Preset.Deadline())
 	defer cancel()
-	for round := 0; ; round++ {
-		x := newExecution(r, p, q, round)
-		gone := x.run(ctx)
+	var best answer.Answer
+	var gone []string
+	for {
+		gone = append(gone, p.Snapshot)
+		x := newExecution(r, p, q)
+		x.begun = start
+		x.restart = func() (plan.Plan, bool) { return r.without(v, q, gone) }
+		ended := x.run(ctx)
 		if errors.Is(ctx.Err(), context.Canceled) {
-			return answer.Answer{}, ctx.Err()
+			return answer.Answer{}, context.Canceled
 		}
-		next, ok := plan.Without(v.Config(), q.Service, q.Key, p.Snapshot)
-		if !gone || !ok || round > 0 {
-			return x.answer(), nil
+		if a := x.answer(); best.Snapshot == "" || a.Coverage.Share() > best.Coverage.Share() {
+			best = a
 		}
-		p = next
-	}
-}
-
-// execution is one fan-out over one snapshot.
-type execution struct {
-	*Runner
-	plan    plan.Plan
-	query   Query
-	round   int
-	gather  *gather.Gather
-	results chan result
-	tried   [][]string
-	open    []int // attempts in flight, by shard
-	pending int   // attempts in flight
-	gone    bool
-}
-
-type result struct {
-	shard    int
-	upstream string
-	reply    part.Reply
-	took     time.Duration
-	err      error
-}
-
-func newExecution(r *Runner, p plan.Plan, q Query, round int) *execution {
-	return &execution{
-		Runner:  r,
-		plan:    p,
-		query:   q,
-		round:   round,
-		gather:  gather.New(p.Snapshot, p.Shards),
-		results: make(chan result, len(p.Shards)),
-		tried:   make([][]string, len(p.Shards)),
-		open:    make([]int, len(p.Shards)),
-	}
-}
-
-// run reports whether the snapshot is gone. It returns when all attempts have ended.
-func (x *execution) run(ctx context.Context) bool {
-	ctx, cancel := context.WithCancel(ctx)
-	defer x.drain()
-	defer cancel()
-	x.start(ctx)
-	hedge := time.NewTimer(x.hedgeWait())
-	defer hedge.Stop()
-	tail := x.tailTimer()
-	for !x.gather.IsWhole() && x.pending > 0 && !x.gone {
-		select {
-		case res := <-x.results:
-			x.take(ctx, res)
-		case <-hedge.C:
-			x.hedge(ctx)
-		case <-tail:
-			return false
-		case <-ctx.Done():
-			return false
+		if ended != endGone {
+			return best, nil
 		}
+		r.meter.Count("crocuswing_query_restarts_total")
+		r.absence.Add(p.Service, p.Snapshot, time.Now())
+		p = x.next
 	}
-	return x.gone
 }
 
-func (x *execution) start(ctx context.Context) {
-	x.hedges.Earn(len(x.plan.Shards), x.plan.Preset.HedgeShare)
-	x.retries.Earn(len(x.plan.Shards), x.plan.Preset.RetryShare)
-	for i := range x.plan.Shards {
-		if upstream, ok := x.sender.Choose(x.plan.Shards[i], nil); ok {
-			x.first.Add(1)
-			x.send(ctx, i, upstream)
+// plan pins the newest snapshot that was not found absent lately, or the newest one if all were.
+func (r *Runner) plan(v view.View, q Query, now time.Time) (plan.Plan, error) {
+	if absent := r.absence.Snapshots(q.Service, now); len(absent) > 0 {
+		if p, ok := plan.Without(v.Config(), q.Service, q.Key, absent); ok {
+			return p, nil
 		}
 	}
+	return plan.New(v.Config(), q.Service, q.Key)
 }
 
-func (x *execution) send(ctx context.Context, i int, upstream string) {
-	q := part.Request{
-		RequestID: fmt.Sprintf("%s/%d/%d/%d", x.query.RequestID, x.round, i, len(x.tried[i])),
-		Service:   x.plan.Service,
-		Shard:     x.plan.Shards[i].Name,
-		Snapshot:  x.plan.Snapshot,
-		Query:     x.query.Query,
-		Key:       x.query.Key,
-	}
-	x.tried[i] = append(x.tried[i], upstream)
-	x.open[i]++
-	x.pending++
-	go func() {
-		start := time.Now()
-		reply, err := x.sender.Part(ctx, upstream, q)
-		x.results <- result{shard: i, upstream: upstream, reply: reply, took: time.Since(start), err: err}
-	}()
-}
-
-func (x *execution) take(ctx context.Context, res result) {
-	x.pending--
-	x.open[res.shard]--
-	if res.err == nil {
-		x.gather.Add(res.reply)
-		x.times.Add(res.took)
-		return
-	}
-	var f *failure.Failure
-	if errors.As(res.err, &f) && f.Kind == failure.KindSnapshotGone {
-		x.gone = true
-		return
+// without plans q on a snapshot besides those that are gone.
+func (r *Runner) without(v view.View, q Query, gone []string) (plan.Plan, bool) {
+	if p, ok := plan.Without(v.Config(), q.Service, q.Key, gone); ok {
+		return p, true
 	}
-	x.retry(ctx, res.shard)
-}
-
-func (x *execution) retry(ctx context.Context, i int) {
-	if x.gather.Has(i) || x.open[i] > 0 {
-		return
+	if r.current == nil {
+		return plan.Plan{}, false
 	}
-	upstream, ok := x.sender.Choose(x.plan.Shards[i], x.tried[i])
-	if ok && x.retries.Spend() {
-		x.extra.Add(1)
-		x.send(ctx, i, upstream)
+	newest := r.current().Config()
+	if newest.Revision() <= v.Config().Revision() {
+		return plan.Plan{}, false
 	}
+	return plan.Without(newest, q.Service, q.Key, gone)
 }
 
-// hedge sends a second attempt for each straggling shard as far as the budget goes.
-func (x *execution) hedge(ctx context.Context) {
-	for i := range x.plan.Shards {
-		if x.gather.Has(i) || x.open[i] != 1 {
-			continue
-		}
-		upstream, ok := x.sender.Choose(x.plan.Shards[i], x.tried[i])
-		if !ok || !x.sender.MayHedge(upstream) {
-			continue
-		}
-		if !x.hedges.Spend() {
-			return
-		}
-		x.extra.Add(1)
-		x.send(ctx, i, upstream)
+// window gives the recent times of the attempts of a service.
+func (r *Runner) window(service string) *window.Window {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.times[service]
+	if w == nil {
+		w = &window.Window{}
+		r.times[service] = w
 	}
+	return w
 }
 
-func (x *execution) hedgeWait() time.Duration {
-	wait, ok := x.times.Quantile(x.plan.Preset.HedgeQuantile)
-	if !ok {
-		return defaultHedgeWait
-	}
-	return max(wait, minHedgeWait)
-}
-
-func (x *execution) tailTimer() <-chan time.Time {
-	if wait := x.plan.Preset.TailWait(); wait > 0 {
-		return time.After(wait)
-	}
-	return nil
-}
-
-// drain lets the canceled attempts end without blocking them.
-func (x *execution) drain() {
-	pending := x.pending
-	go func() {
-		for range pending {
-			<-x.results
-		}
-	}()
-}
-
-func (x *execution) answer() answer.Answer {
-	return answer.Answer{
-		RequestID: x.query.RequestID,
-		Revision:  x.plan.Revision,
-		Snapshot:  x.plan.Snapshot,
-		Coverage:  x.gather.Coverage(),
-		Rows:      x.gather.Rows(),
+// withReplyTime ends ctx so early that the answer reaches the caller before its deadline.
+func withReplyTime(ctx context.Context, now time.Time, longest time.Duration) (context.Context, context.CancelFunc) {
+	end := now.Add(longest)
+	if own, ok := ctx.Deadline(); ok && own.Before(end) {
+		end = own
 	}
+	back := min(max(end.Sub(now)/replyTimeShare, minReplyTime), maxReplyTime)
+	return context.WithDeadline(ctx, end.Add(-back))
 }
--- a/internal/serve/instance/instance.go
+++ b/internal/serve/instance/instance.go
@@ -92,7 +92,7 @@
 	i.peers = peers.New(s.Instance, i.revision, i.heard)
 	sender := dispatch.New(s.Instance, i.follower, i.directory, i.peers)
 	i.dispatcher = sender
-	i.runner = run.New(sender)
+	i.runner = run.New(sender, run.WithMeter(i.metrics), run.WithCurrent(i.follower.Current))
 	i.desk = desk.New(s.Instance, i.incarnation, []byte(s.TicketKey), sender, i.peers)
 	return i
 }
--- a/internal/upstream/dispatch/dispatch.go
+++ b/internal/upstream/dispatch/dispatch.go
@@ -4,12 +4,9 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
-	"slices"
 	"time"
 
 	"crocuswing/internal/fleet/view"
-	"crocuswing/internal/index/shard"
 	"crocuswing/internal/upstream/directory"
 	"crocuswing/internal/upstream/failure"
 	"crocuswing/internal/upstream/home"
@@ -44,32 +41,6 @@
 	return &Dispatcher{self: self, viewer: v, directory: d, relayer: r}
 }
 
-// Choose picks a replica of s that may get new work, the less busy of two random ones,
-// and false if there is none besides those in tried.
-func (d *Dispatcher) Choose(s shard.Shard, tried []string) (string, bool) {
-	now := time.Now()
-	v := d.viewer.Current()
-	eligible := make([]*target.Target, 0, len(s.Replicas))
-	for _, name := range s.Replicas {
-		t, ok := d.directory.Target(name)
-		if ok && v.Permits(name) && t.IsOpen(now) && !slices.Contains(tried, name) {
-			eligible = append(eligible, t)
-		}
-	}
-	if len(eligible) == 0 {
-		return "", false
-	}
-	a := eligible[rand.IntN(len(eligible))]
-	b := eligible[rand.IntN(len(eligible))]
-	return better(a, b).Name(), true
-}
-
-// MayHedge tells whether an extra attempt may go to the upstream.
-func (d *Dispatcher) MayHedge(upstream string) bool {
-	t, ok := d.directory.Target(upstream)
-	return ok && !t.IsCold()
-}
-
 // Part asks one upstream for one shard's part. It fails with *failure.Failure.
 func (d *Dispatcher) Part(ctx context.Context, upstream string, q part.Request) (part.Reply, error) {
 	reply, err := d.attempt(ctx, relay.Request{Upstream: upstream, Part: &q})
@@ -170,17 +141,3 @@
 	var f *failure.Failure
 	return errors.As(err, &f) && (f.Kind == failure.KindRefused || f.Kind == failure.KindReset)
 }
-
-func better(a, b *target.Target) *target.Target {
-	busyA, busyB := a.Busy(), b.Busy()
-	if busyA != busyB {
-		if busyA < busyB {
-			return a
-		}
-		return b
-	}
-	if a.Latency() <= b.Latency() {
-		return a
-	}
-	return b
-}
--- a/internal/wire/part/part.go
+++ b/internal/wire/part/part.go
@@ -1,7 +1,11 @@
 // Package part holds the messages for one shard's part of a query.
 package part
 
-import "fmt"
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+)
 
 // Request asks an upstream for one shard's part. Exactly one of Query and Key is set.
 type Request struct {
@@ -39,15 +43,39 @@
 	return fmt.Sprintf("reply has %d rows, declares %d", e.Got, e.Want)
 }
 
+// UnmarshalJSON decodes a reply and refuses one that does not declare its count,
+// since an empty message would otherwise pass for a whole part without rows.
+func (r *Reply) UnmarshalJSON(text []byte) error {
+	type plain Reply // without this method
+	message := struct {
+		*plain
+		Count *int `json:"count"`
+	}{plain: (*plain)(r)}
+	*r = Reply{}
+	if err := json.Unmarshal(text, &message); err != nil {
+		return err
+	}
+	if message.Count == nil {
+		return errors.New("reply declares no count")
+	}
+	r.Count = *message.Count
+	return nil
+}
+
 // Check tells whether r is the whole reply to q. It fails with *CrossedError or *IncompleteError.
 func (r Reply) Check(q Request) error {
-	got := r.RequestID + " " + r.Service + "/" + r.Shard + "@" + r.Snapshot
-	want := q.RequestID + " " + q.Service + "/" + q.Shard + "@" + q.Snapshot
-	if got != want {
-		return &CrossedError{Want: want, Got: got}
+	if r.RequestID != q.RequestID || r.Service != q.Service || r.Shard != q.Shard || r.Snapshot != q.Snapshot {
+		return &CrossedError{
+			Want: label(q.RequestID, q.Service, q.Shard, q.Snapshot),
+			Got:  label(r.RequestID, r.Service, r.Shard, r.Snapshot),
+		}
 	}
 	if r.Count != len(r.Rows) {
 		return &IncompleteError{Want: r.Count, Got: len(r.Rows)}
 	}
 	return nil
 }
+
+func label(id, service, shard, snapshot string) string {
+	return id + " " + service + "/" + shard + "@" + snapshot
+}
