feat: homes, warm-up, limits, queues and leaving as separate decisions

Cause: one target type mixed limit, queue, warm-up and signals; every instance opened a share of all connections; a canceled attempt on a cold upstream gave its slot back while the upstream still worked. Change: packages home, warmup, limit, queue and departure decide; target joins them; directory keeps links only where this instance is a home; dispatch relays through a home and lets attempts on cold upstreams run out. Homes tell each other what they see of an upstream by notices.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -21,6 +21,8 @@
 	MethodOrder = "order"
 	// MethodRelay sends an attempt through an upstream's first home.
 	MethodRelay = "relay"
+	// MethodNotice tells the other homes of an upstream what one saw of it.
+	MethodNotice = "notice"
 )
 
 // Peers maps the names of instances to clients. It is safe for concurrent use.
@@ -84,7 +86,7 @@
 func (p *Peers) Relay(ctx context.Context, instance string, q relay.Request) (relay.Reply, error) {
 	c, ok := p.client(instance)
 	if !ok {
-		return relay.Reply{}, &failure.Failure{Upstream: q.Upstream, Kind: failure.KindForbidden, NotRun: true, Err: errUnknownPeer}
+		return relay.Reply{}, &failure.Failure{Upstream: q.Upstream, Kind: failure.KindRelay, NotRun: true, Err: errUnknownPeer}
 	}
 	var reply relay.Reply
 	err := c.Call(ctx, MethodRelay, q, &reply)
@@ -94,6 +96,16 @@
 	return relay.Reply{}, &failure.Failure{Upstream: q.Upstream, Kind: failure.KindRelay, NotRun: isNotRun(err), Err: err}
 }
 
+// Notify tells another instance what this one saw of upstreams.
+func (p *Peers) Notify(ctx context.Context, instance string, notices []relay.Notice) error {
+	c, ok := p.client(instance)
+	if !ok {
+		return errUnknownPeer
+	}
+	var none struct{}
+	return c.Call(ctx, MethodNotice, notices, &none)
+}
+
 func isNotRun(err error) bool {
 	var unsent *client.UnsentError
 	var refused *client.RefusedError
--- a/internal/serve/instance/instance.go
+++ b/internal/serve/instance/instance.go
@@ -12,7 +12,6 @@
 
 	entry "crocuswing/internal/entry/handler"
 	"crocuswing/internal/fleet/follower"
-	"crocuswing/internal/fleet/member"
 	"crocuswing/internal/fleet/peers"
 	"crocuswing/internal/fleet/view"
 	operator "crocuswing/internal/operator/handler"
@@ -27,6 +26,7 @@
 	"crocuswing/internal/settings/process"
 	"crocuswing/internal/upstream/directory"
 	"crocuswing/internal/upstream/dispatch"
+	"crocuswing/internal/upstream/target"
 	"crocuswing/internal/wire/relay"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -82,7 +82,7 @@
 		settings:    s,
 		log:         log.With(zap.String("instance", s.Instance)),
 		incarnation: uint64(time.Now().UnixNano()),
-		directory:   directory.New(),
+		directory:   directory.New(s.Instance),
 		metrics:     metric.New(),
 	}
 	for _, o := range options {
@@ -90,7 +90,7 @@
 	}
 	i.follower = follower.New(reader.New(s.PlatformAddress), i.log, i.update)
 	i.peers = peers.New(s.Instance, i.revision, i.heard)
-	sender := dispatch.New(s.Instance, i.follower, i.directory, i.peers)
+	sender := dispatch.New(s.Instance, i.follower, i.directory, i.peers, dispatch.WithObserver(i.changed))
 	i.dispatcher = sender
 	i.runner = run.New(sender)
 	i.desk = desk.New(s.Instance, i.incarnation, []byte(s.TicketKey), sender, i.peers)
@@ -109,12 +109,14 @@
 	callers := &http.Server{Handler: entry.New(i, i.runner, i.desk, i.metrics, prefix), ReadHeaderTimeout: headerTimeout}
 	operators := &http.Server{Handler: operator.New(i, i.metrics), ReadHeaderTimeout: headerTimeout}
 	peerCalls := server.New(map[string]server.Method{
-		peers.MethodOrder: i.placeForwarded,
-		peers.MethodRelay: i.relay,
+		peers.MethodOrder:  i.placeForwarded,
+		peers.MethodRelay:  i.relay,
+		peers.MethodNotice: i.notice,
 	}, i.revision, i.heard)
 
 	var group errgroup.Group
 	group.Go(func() error { i.follower.Run(background); return nil })
+	group.Go(func() error { i.dispatcher.Run(background); return nil })
 	group.Go(func() error { return ignoreClosed(callers.Serve(i.listeners.Caller)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(i.listeners.Operator)) })
 	group.Go(func() error { return peerCalls.Serve(i.listeners.Peer) })
@@ -139,6 +141,7 @@
 	}
 	peerCalls.Shutdown(ctx)
 	i.desk.Wait(ctx)
+	i.dispatcher.Wait(ctx)
 	i.peers.Close()
 }
 
@@ -200,8 +203,7 @@
 }
 
 func (i *Instance) update(v view.View) {
-	homes := len(v.Roster().Of(member.KindInstance))
-	i.directory.Update(v, homes)
+	i.directory.Update(v)
 	i.peers.Update(v)
 }
 
@@ -224,6 +226,22 @@
 	return i.dispatcher.Relayed(ctx, q), nil
 }
 
+// notice takes what another home saw of upstreams.
+func (i *Instance) notice(_ context.Context, body []byte) (any, error) {
+	var notices []relay.Notice
+	if err := msgpack.Unmarshal(body, &notices); err != nil {
+		return nil, err
+	}
+	i.dispatcher.Notified(notices)
+	return nil, nil
+}
+
+// changed logs a change of an upstream's state.
+func (i *Instance) changed(upstream string, c target.Change) {
+	i.log.Info("upstream changed", zap.String("upstream", upstream), zap.String("incarnation", c.Incarnation),
+		zap.Bool("warm-up-began", c.Restarted), zap.Bool("warm-up-ended", c.Warmed), zap.Bool("leaving", c.Left))
+}
+
 // placeForwarded runs an order that another instance forwarded to the owner of its ticket.
 func (i *Instance) placeForwarded(ctx context.Context, body []byte) (any, error) {
 	var p desk.Placement
--- a/internal/upstream/dispatch/dispatch.go
+++ b/internal/upstream/dispatch/dispatch.go
@@ -3,17 +3,14 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"crocuswing/internal/fleet/view"
 	"crocuswing/internal/index/shard"
 	"crocuswing/internal/upstream/directory"
-	"crocuswing/internal/upstream/failure"
-	"crocuswing/internal/upstream/home"
-	"crocuswing/internal/upstream/link"
 	"crocuswing/internal/upstream/target"
 	"crocuswing/internal/wire/order"
 	"crocuswing/internal/wire/part"
@@ -25,23 +22,51 @@
 	Current() view.View
 }
 
-// Relayer sends an attempt through another instance.
+// Relayer reaches other instances.
 type Relayer interface {
 	// Relay fails with *failure.Failure if the other instance did not answer.
 	Relay(ctx context.Context, instance string, q relay.Request) (relay.Reply, error)
+	// Notify tells another instance what this one saw of upstreams.
+	Notify(ctx context.Context, instance string, notices []relay.Notice) error
 }
 
+// Observer is told each change of an upstream's state.
+type Observer func(upstream string, c target.Change)
+
 // Dispatcher sends attempts to upstreams within their limits.
 type Dispatcher struct {
 	self      string
 	viewer    Viewer
 	directory *directory.Directory
 	relayer   Relayer
+	observe   Observer
+	hops      hops
+	notices   chan relay.Notice
+	detached  sync.WaitGroup // attempts that run on after their request has ended
+}
+
+// Option changes how a dispatcher is made.
+type Option func(*Dispatcher)
+
+// WithObserver tells changes of state to o.
+func WithObserver(o Observer) Option {
+	return func(d *Dispatcher) { d.observe = o }
 }
 
 // New makes a dispatcher for the instance self.
-func New(self string, v Viewer, d *directory.Directory, r Relayer) *Dispatcher {
-	return &Dispatcher{self: self, viewer: v, directory: d, relayer: r}
+func New(self string, v Viewer, d *directory.Directory, r Relayer, options ...Option) *Dispatcher {
+	x := &Dispatcher{
+		self:      self,
+		viewer:    v,
+		directory: d,
+		relayer:   r,
+		observe:   func(string, target.Change) {},
+		notices:   make(chan relay.Notice, noticeQueue),
+	}
+	for _, o := range options {
+		o(x)
+	}
+	return x
 }
 
 // Choose picks a replica of s that may get new work, the less busy of two random ones,
@@ -82,95 +107,10 @@
 	return reply.Order, err
 }
 
-// Relayed runs an attempt for another instance. It refuses a cold upstream whose first home is elsewhere.
-func (d *Dispatcher) Relayed(ctx context.Context, q relay.Request) relay.Reply {
-	t, ok := d.directory.Target(q.Upstream)
-	if !ok || (t.IsCold() && d.firstHome(q.Upstream) != d.self) {
-		return relay.Reply{Failed: failure.KindForbidden, NotRun: true, Reason: "this instance is not the first home"}
-	}
-	reply, err := d.direct(ctx, t, q)
-	reply.Cold = t.IsCold()
-	var f *failure.Failure
-	if errors.As(err, &f) {
-		reply.Failed, reply.NotRun, reply.Reason = f.Kind, f.NotRun, err.Error()
-	}
-	return reply
-}
-
-// attempt goes to the upstream directly, or through its first home while it is cold.
-func (d *Dispatcher) attempt(ctx context.Context, q relay.Request) (relay.Reply, error) {
-	t, ok := d.directory.Target(q.Upstream)
-	if !ok {
-		return relay.Reply{}, forbidden(q.Upstream)
-	}
-	first := d.firstHome(q.Upstream)
-	if !t.IsCold() || first == d.self {
-		return d.direct(ctx, t, q)
-	}
-	if !d.permits(t) {
-		return relay.Reply{}, forbidden(q.Upstream)
-	}
-	start := time.Now()
-	reply, err := d.relayer.Relay(ctx, first, q)
-	if err != nil {
-		return relay.Reply{}, err
-	}
-	t.Relayed(time.Since(start), reply.Signal, reply.Cold)
-	if reply.Failed != "" {
-		return relay.Reply{}, &failure.Failure{Upstream: q.Upstream, Kind: reply.Failed, NotRun: reply.NotRun, Err: errors.New(reply.Reason)}
-	}
-	return reply, nil
-}
-
-// direct runs one exchange inside the upstream's limit and records its result.
-func (d *Dispatcher) direct(ctx context.Context, t *target.Target, q relay.Request) (relay.Reply, error) {
-	if err := t.Acquire(ctx); err != nil {
-		return relay.Reply{}, &failure.Failure{Upstream: q.Upstream, Kind: failure.KindTimeout, NotRun: true, Err: err}
-	}
-	defer t.Release()
-	l, ok := d.directory.Link(q.Upstream)
-	if !ok || !d.permits(t) || (t.IsCold() && d.firstHome(q.Upstream) != d.self) {
-		return relay.Reply{}, forbidden(q.Upstream)
-	}
-	start := time.Now()
-	reply, err := exchange(ctx, l, q)
-	if err == nil {
-		t.Succeeded(time.Since(start), reply.Signal)
-		return reply, nil
-	}
-	t.Failed(isBroken(err), reply.Signal)
-	return reply, err
-}
-
-func exchange(ctx context.Context, l *link.Link, q relay.Request) (relay.Reply, error) {
-	var reply relay.Reply
-	var err error
-	if q.Part != nil {
-		reply.Part, reply.Signal, err = l.Part(ctx, *q.Part)
-	} else {
-		reply.Order, reply.Signal, err = l.Order(ctx, *q.Order)
-	}
-	return reply, err
-}
-
 func (d *Dispatcher) permits(t *target.Target) bool {
 	return d.viewer.Current().Permits(t.Name()) && t.IsOpen(time.Now())
 }
 
-func (d *Dispatcher) firstHome(upstream string) string {
-	first, _ := home.First(upstream, d.viewer.Current().Instances())
-	return first
-}
-
-func forbidden(upstream string) error {
-	return &failure.Failure{Upstream: upstream, Kind: failure.KindForbidden, NotRun: true}
-}
-
-func isBroken(err error) bool {
-	var f *failure.Failure
-	return errors.As(err, &f) && (f.Kind == failure.KindRefused || f.Kind == failure.KindReset)
-}
-
 func better(a, b *target.Target) *target.Target {
 	busyA, busyB := a.Busy(), b.Busy()
 	if busyA != busyB {
--- a/internal/upstream/failure/failure.go
+++ b/internal/upstream/failure/failure.go
@@ -17,6 +17,7 @@
 	KindTimeout      = "timeout"       // no answer in time
 	KindCanceled     = "canceled"      // the request was withdrawn
 	KindForbidden    = "forbidden"     // leaving, out, unknown or above its limit
+	KindBusy         = "busy"          // the upstream's limit leaves no room in time
 	KindRelay        = "relay"         // the instance on the way did not answer
 	KindStatus       = "status"        // any other answer
 )
--- a/internal/upstream/target/target.go
+++ b/internal/upstream/target/target.go
@@ -1,4 +1,5 @@
-// Package target holds the running state of one upstream: its limit, its warm-up and its latency.
+// Package target holds the running state of one upstream as one instance knows it. It joins the
+// decisions of warmup, limit, queue and departure under one lock.
 package target
 
 import (
@@ -7,34 +8,68 @@
 	"time"
 
 	"crocuswing/internal/upstream/contract"
+	"crocuswing/internal/upstream/departure"
+	"crocuswing/internal/upstream/home"
+	"crocuswing/internal/upstream/limit"
+	"crocuswing/internal/upstream/queue"
 	"crocuswing/internal/upstream/signal"
+	"crocuswing/internal/upstream/warmup"
 )
 
 const (
-	latencyWeight = 0.2             // weight of the newest sample in the mean
-	leavingHold   = 5 * time.Second // how long an answer's leaving signal counts without the list
+	// Handover is the time for which a new first home sends nothing to a cold upstream, so that
+	// what the former one has in flight can end.
+	Handover = 250 * time.Millisecond
+
+	latencyWeight = 0.2 // weight of the newest sample in the mean
+	maxRetryAfter = 10 * time.Second
 )
 
+// Role is the part that this instance plays for an upstream under the present view.
+type Role struct {
+	IsHome  bool
+	IsFirst bool
+	// Share is the highest number of requests in flight of this home once the upstream is warm.
+	Share int
+}
+
 // Target is one upstream as this instance knows it. It is safe for concurrent use.
 type Target struct {
 	name     string
 	contract contract.Contract
+	place    home.Place
+
+	mu        sync.Mutex
+	role      Role
+	work      *work // nil unless this instance is a home
+	relays    int   // attempts in flight through other homes
+	toldWarm  bool  // by the home that answered last
+	departure departure.Departure
+	latency   time.Duration
+	load      float64
+	shedUntil time.Time
+	route     route
+}
 
-	mu           sync.Mutex
-	inFlight     int
-	waiters      []chan struct{}
-	latency      time.Duration
-	load         float64
-	incarnation  string
-	cold         bool
-	successes    int
-	leavingUntil time.Time
-	shedUntil    time.Time
+// work is the state that only a home keeps.
+type work struct {
+	warmup    warmup.Warmup
+	limit     limit.Limit
+	queue     queue.Queue
+	inFlight  int
+	heldUntil time.Time // a new first home sends nothing before
+}
+
+// route is the list of homes, valid for one group and count.
+type route struct {
+	group *home.Group
+	count int
+	homes []string
 }
 
 // New makes a target that is cold until it has proved itself.
-func New(name string, c contract.Contract) *Target {
-	return &Target{name: name, contract: c, cold: true}
+func New(name string, c contract.Contract, p home.Place) *Target {
+	return &Target{name: name, contract: c, place: p}
 }
 
 // Name is the upstream's name.
@@ -43,144 +78,214 @@
 // Contract states what the upstream can bear.
 func (t *Target) Contract() contract.Contract { return t.contract }
 
-// Acquire waits for a slot until ctx ends. Each success needs one Release.
-func (t *Target) Acquire(ctx context.Context) error {
-	t.mu.Lock()
-	if t.inFlight < t.limit() {
-		t.inFlight++
-		t.mu.Unlock()
-		return nil
-	}
-	granted := make(chan struct{})
-	t.waiters = append(t.waiters, granted)
-	t.mu.Unlock()
-	select {
-	case <-granted:
-		return nil
-	case <-ctx.Done():
-		t.withdraw(granted)
-		return ctx.Err()
-	}
-}
+// Place is the upstream's failure domain and region.
+func (t *Target) Place() home.Place { return t.place }
 
-// withdraw removes a waiter, or gives back the slot that it was granted meanwhile.
-func (t *Target) withdraw(granted chan struct{}) {
+// Homes gives the upstream's homes under a ranking, first home first. The caller must not change them.
+func (t *Target) Homes(r *home.Ranking) []string {
+	g := r.Group(t.place)
+	count := t.contract.HomeCount(r.Len())
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for i, w := range t.waiters {
-		if w == granted {
-			t.waiters = append(t.waiters[:i], t.waiters[i+1:]...)
-			return
-		}
+	if t.route.group != g || t.route.count != count {
+		t.route = route{group: g, count: count, homes: g.Homes(t.name, count)}
 	}
-	t.inFlight--
-	t.grant()
+	return t.route.homes
 }
 
-// Release gives the slot back.
-func (t *Target) Release() {
+// Role is the present one of this instance.
+func (t *Target) Role() Role {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.inFlight--
-	t.grant()
+	return t.role
 }
 
-func (t *Target) grant() {
-	for len(t.waiters) > 0 && t.inFlight < t.limit() {
-		close(t.waiters[0])
-		t.waiters = t.waiters[1:]
-		t.inFlight++
-	}
-}
-
-// Succeeded records an answer and the time it took.
-func (t *Target) Succeeded(took time.Duration, s signal.Signal) {
+// SetRole changes the role of this instance. Waiting requests that it no longer may send are refused.
+func (t *Target) SetRole(r Role) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.observe(time.Now(), s)
-	if t.latency == 0 {
-		t.latency = took
+	now := time.Now()
+	becameFirst := t.work != nil && r.IsFirst && !t.role.IsFirst
+	t.role = r
+	switch {
+	case r.IsHome && t.work == nil:
+		t.work = &work{warmup: warmup.New(t.contract.WarmAfter), limit: limit.New(t.contract.ColdSlots, r.Share)}
+	case r.IsHome:
+		t.work.limit = t.work.limit.WithMost(r.Share)
+	case t.work != nil && t.work.inFlight == 0:
+		t.work.queue.Refuse()
+		t.work = nil
 	}
-	t.latency += time.Duration(latencyWeight * float64(took-t.latency))
-	t.successes++
-	if !s.Cold && t.successes >= t.contract.WarmAfter {
-		t.cold = false
+	if becameFirst {
+		t.work.heldUntil = now.Add(Handover)
+		time.AfterFunc(Handover, t.wake)
 	}
+	t.settle(now)
 }
 
-// Failed records a failed attempt; broken tells that the connection was refused or reset.
-func (t *Target) Failed(broken bool, s signal.Signal) {
+func (t *Target) wake() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.observe(time.Now(), s)
-	if broken {
-		t.restart()
+	t.settle(time.Now())
+}
+
+// Acquire waits for a slot. It fails with *RefusedError, *queue.Error or the error of ctx.
+func (t *Target) Acquire(ctx context.Context) (Slot, error) {
+	t.mu.Lock()
+	now := time.Now()
+	if err := t.refusal(now); err != nil {
+		t.mu.Unlock()
+		return Slot{}, err
+	}
+	t.settle(now)
+	if t.work.inFlight < t.allowed(now) {
+		t.work.inFlight++
+		s := t.slot(now)
+		t.mu.Unlock()
+		return s, nil
+	}
+	deadline, _ := ctx.Deadline()
+	load := queue.Load{Limit: t.allowed(now), Service: t.work.limit.Latency()}
+	w, err := t.work.queue.Enter(now, deadline, load)
+	t.mu.Unlock()
+	if err != nil {
+		return Slot{}, err
 	}
+	return t.wait(ctx, w)
 }
 
-// Relayed records an answer that came through the first home, and whether that finds the upstream cold.
-func (t *Target) Relayed(took time.Duration, s signal.Signal, cold bool) {
+func (t *Target) wait(ctx context.Context, w *queue.Waiter) (Slot, error) {
+	timer := time.NewTimer(time.Until(w.Deadline()))
+	defer timer.Stop()
+	select {
+	case <-w.Ended():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.observe(time.Now(), s)
-	if t.latency == 0 {
-		t.latency = took
+	now := time.Now()
+	if t.work != nil && t.work.queue.Leave(w) {
+		return Slot{}, waitError(ctx, queue.MaxWait)
 	}
-	if !cold {
-		t.cold = false
+	if !w.IsGranted() {
+		return Slot{}, t.refusedWait(ctx, now)
 	}
+	if ctx.Err() == nil && t.refusal(now) == nil && t.work.inFlight <= t.allowed(now) {
+		return t.slot(now), nil
+	}
+	t.work.inFlight--
+	t.settle(now)
+	return Slot{}, t.refusedWait(ctx, now)
 }
 
-func (t *Target) observe(now time.Time, s signal.Signal) {
-	if s.Incarnation != "" && s.Incarnation != t.incarnation {
-		t.incarnation = s.Incarnation
-		t.restart()
-	}
-	if s.Cold && !t.cold {
-		t.restart()
+// refusedWait tells why a request that had waited was refused.
+func (t *Target) refusedWait(ctx context.Context, now time.Time) error {
+	if err := t.refusal(now); err != nil {
+		return err
 	}
-	if s.Leaving {
-		t.leavingUntil = now.Add(leavingHold)
+	return waitError(ctx, 0)
+}
+
+func waitError(ctx context.Context, wait time.Duration) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
 	}
-	if s.Shed {
-		t.shedUntil = now.Add(s.RetryAfter)
+	return &queue.Error{Wait: wait}
+}
+
+// refusal tells why nothing may be sent from here now; nil if something may.
+func (t *Target) refusal(now time.Time) error {
+	switch {
+	case t.departure.IsLeaving(now):
+		return &RefusedError{Upstream: t.name, Reason: ReasonLeaving}
+	case now.Before(t.shedUntil):
+		return &RefusedError{Upstream: t.name, Reason: ReasonShedding, RetryAfter: t.shedUntil.Sub(now)}
+	case !t.role.IsHome || t.work == nil:
+		return &RefusedError{Upstream: t.name, Reason: ReasonNotHome}
+	case !t.role.IsFirst && t.work.warmup.Phase(now) != warmup.Warm:
+		return &RefusedError{Upstream: t.name, Reason: ReasonNotFirst}
 	}
-	if s.Load >= 0 {
-		t.load = s.Load
+	return nil
+}
+
+// allowed is the number of requests that this home may have in flight now.
+func (t *Target) allowed(now time.Time) int {
+	switch {
+	case t.work.warmup.Phase(now) == warmup.Warm:
+		return t.work.limit.Value()
+	case !t.role.IsFirst || now.Before(t.work.heldUntil):
+		return 0
 	}
+	return t.contract.ColdSlots
 }
 
-func (t *Target) restart() {
-	t.cold = true
-	t.successes = 0
+// settle grants free slots to waiting requests, or refuses them if nothing may be sent any more.
+func (t *Target) settle(now time.Time) {
+	if t.work == nil {
+		return
+	}
+	if t.refusal(now) != nil {
+		t.work.queue.Refuse()
+		return
+	}
+	for t.work.inFlight < t.allowed(now) && t.work.queue.Grant(now) {
+		t.work.inFlight++
+	}
 }
 
-func (t *Target) limit() int {
-	if t.cold {
-		return t.contract.ColdSlots
+// Phase tells what this instance knows about the upstream's warmth at now.
+func (t *Target) Phase(now time.Time) warmup.Phase {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.work != nil:
+		return t.work.warmup.Phase(now)
+	case t.toldWarm:
+		return warmup.Warm
 	}
-	return t.contract.Slots
+	return warmup.Cold
 }
 
-// IsCold tells whether the upstream still warms up.
-func (t *Target) IsCold() bool {
+// Incarnation is the upstream's last one that this home knows.
+func (t *Target) Incarnation() string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.cold
+	if t.work == nil {
+		return ""
+	}
+	return t.work.warmup.Incarnation()
 }
 
+// IsCold tells whether the upstream is not known to be warm.
+func (t *Target) IsCold() bool { return t.Phase(time.Now()) != warmup.Warm }
+
 // IsOpen tells whether the upstream is neither leaving nor shedding at now.
 func (t *Target) IsOpen(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !now.Before(t.leavingUntil) && !now.Before(t.shedUntil)
+	return !t.departure.IsLeaving(now) && !now.Before(t.shedUntil)
 }
 
-// Busy is the number of requests in flight or waiting here.
+// Busy is the number of requests in flight or waiting here, also those through other homes.
 func (t *Target) Busy() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.inFlight + len(t.waiters)
+	if t.work == nil {
+		return t.relays
+	}
+	return t.work.inFlight + t.work.queue.Len() + t.relays
+}
+
+// Limit is the number of requests that this instance may have in flight to the upstream now.
+func (t *Target) Limit() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	if t.refusal(now) != nil {
+		return 0
+	}
+	return t.allowed(now)
 }
 
 // Latency is the weighted mean of recent service times.
@@ -189,3 +294,30 @@
 	defer t.mu.Unlock()
 	return t.latency
 }
+
+// Load is the share of its slots that the upstream last reported to be in use, 0 to 1.
+func (t *Target) Load() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.load
+}
+
+// note records what an answer or a notice tells besides its result.
+func (t *Target) note(now time.Time, s signal.Signal) {
+	if s.Leaving {
+		t.departure = t.departure.WithSignal(now)
+	}
+	if s.Shed {
+		t.shedUntil = now.Add(min(s.RetryAfter, maxRetryAfter))
+	}
+	if s.Load >= 0 {
+		t.load = s.Load
+	}
+}
+
+func (t *Target) observe(took time.Duration) {
+	if t.latency == 0 {
+		t.latency = took
+	}
+	t.latency += time.Duration(latencyWeight * float64(took-t.latency))
+}
--- /dev/null
+++ b/internal/upstream/warmup/warmup.go
@@ -0,0 +1,251 @@
+// Package warmup decides whether an upstream is warm, from what the instance itself saw of it.
+//
+// Only successes of the present incarnation end a warm-up. A report of the upstream or of the list
+// never ends one, and a report of "cold" against unchanged service times costs one longer warm-up
+// for each incarnation. Time ends no warm-up: it only makes evidence stale.
+package warmup
+
+import "time"
+
+const (
+	// EvidenceAge is the age from which a success no longer proves that the upstream is warm.
+	EvidenceAge = 3 * time.Second
+
+	reportedFactor = 2 // a report of "cold" asks for this many times the successes
+	jumpFactor     = 4 // recent service time, as a multiple of the usual, that starts a warm-up
+	clipFactor     = 8 // a single service time counts at most as this multiple of the usual
+	jumpFloor      = 5 * time.Millisecond
+	jumpSamples    = 8 // answers needed before the usual service time is trusted
+	recentWeight   = 0.2
+	usualWeight    = 0.02
+	fallWeight     = 0.1
+)
+
+// Phase is what is known about the warmth of an upstream.
+type Phase int
+
+// Phases of an upstream.
+const (
+	// Cold upstreams take the cold limit from their first home until enough successes were seen.
+	Cold Phase = iota
+	// Unproven upstreams were warm, but without recent evidence; one success of the known incarnation
+	// proves them warm. Until then they are treated as cold.
+	Unproven
+	// Warm upstreams take work from all homes.
+	Warm
+)
+
+// String names the phase.
+func (p Phase) String() string {
+	switch p {
+	case Cold:
+		return "cold"
+	case Unproven:
+		return "unproven"
+	default:
+		return "warm"
+	}
+}
+
+// Answer is one answer of the upstream.
+type Answer struct {
+	// Epoch is that in which the attempt was sent.
+	Epoch uint64
+	// Incarnation is empty if the answer names none.
+	Incarnation string
+	// ReportsCold tells that the upstream calls itself cold.
+	ReportsCold bool
+	Took        time.Duration
+}
+
+// Warmup is an immutable value; its methods give the next value.
+type Warmup struct {
+	needed      int // successes that end a warm-up
+	epoch       uint64
+	incarnation string
+	previous    string // the incarnation before
+	successes   int
+	warm        bool
+	confirmed   time.Time // the last evidence of warmth
+	disproved   bool      // this incarnation reported "cold" against the evidence
+	listed      bool      // the list's "cold" was checked for this incarnation
+
+	usual   time.Duration
+	recent  time.Duration
+	samples int
+}
+
+// New makes the state of an upstream of which nothing is known.
+func New(warmAfter int) Warmup { return Warmup{needed: warmAfter, epoch: 1} }
+
+// Epoch grows with each start of a warm-up.
+func (w Warmup) Epoch() uint64 { return w.epoch }
+
+// Incarnation is the last one seen.
+func (w Warmup) Incarnation() string { return w.incarnation }
+
+// Phase tells what is known at now.
+func (w Warmup) Phase(now time.Time) Phase {
+	switch {
+	case !w.warm:
+		return Cold
+	case now.Sub(w.confirmed) > EvidenceAge:
+		return Unproven
+	}
+	return Warm
+}
+
+// WithSuccess records a successful answer.
+func (w Warmup) WithSuccess(now time.Time, a Answer) Warmup {
+	if a.Epoch != w.epoch {
+		return w // sent before the present warm-up began
+	}
+	w = w.seen(a.Incarnation)
+	switch phase := w.Phase(now); {
+	case phase == Cold:
+		return w.withWarming(now, a)
+	case phase == Unproven && a.Incarnation == "":
+		return w.Restarted().withWarming(now, Answer{Epoch: a.Epoch + 1, Took: a.Took})
+	case a.ReportsCold && !w.disproved:
+		return w.Restarted()
+	case phase == Unproven && w.isSlow(a.Took):
+		return w.withSample(a.Took)
+	}
+	if w = w.withSample(a.Took); w.hasJumped() {
+		return w.Restarted()
+	}
+	w.confirmed = now
+	return w
+}
+
+// withWarming counts a success of the present warm-up.
+func (w Warmup) withWarming(now time.Time, a Answer) Warmup {
+	w.successes++
+	needed := w.needed
+	if a.ReportsCold {
+		needed *= reportedFactor
+	}
+	if w.successes < needed {
+		return w
+	}
+	w.warm = true
+	w.confirmed = now
+	w.disproved = w.disproved || a.ReportsCold
+	return w
+}
+
+// WithShed records that the upstream refused an attempt for load. While it warms up, that starts anew.
+func (w Warmup) WithShed(now time.Time, epoch uint64, incarnation string) Warmup {
+	if epoch != w.epoch {
+		return w
+	}
+	w = w.seen(incarnation)
+	if w.Phase(now) != Warm {
+		return w.Restarted()
+	}
+	return w
+}
+
+// WithBroken records a refused or reset connection.
+func (w Warmup) WithBroken(epoch uint64) Warmup {
+	if epoch != w.epoch {
+		return w
+	}
+	return w.Restarted()
+}
+
+// WithAnswered records an answer that was neither a success nor a shed.
+func (w Warmup) WithAnswered(epoch uint64, incarnation string) Warmup {
+	if epoch != w.epoch {
+		return w
+	}
+	return w.seen(incarnation)
+}
+
+// WithoutAnswer records an attempt that was given up after took. It counts as a service time of
+// at least took, so an upstream that has stopped to answer starts a warm-up too.
+func (w Warmup) WithoutAnswer(epoch uint64, took time.Duration) Warmup {
+	if epoch != w.epoch || !w.warm || took <= w.recent {
+		return w
+	}
+	if w = w.withSample(took); w.hasJumped() {
+		return w.Restarted()
+	}
+	return w
+}
+
+// WithListed records that the list calls the upstream cold. It makes the evidence stale,
+// once for each incarnation.
+func (w Warmup) WithListed() Warmup {
+	if !w.warm || w.listed {
+		return w
+	}
+	w.listed = true
+	return w.withoutEvidence()
+}
+
+// WithTold records what another home saw: that the incarnation is warm, or that it may be cold.
+func (w Warmup) WithTold(now time.Time, incarnation string, warm bool) Warmup {
+	if incarnation != "" && incarnation == w.previous {
+		return w // older than what is known here
+	}
+	if !warm {
+		return w.withoutEvidence()
+	}
+	if incarnation != w.incarnation {
+		w = w.seen(incarnation)
+	}
+	w.warm = true
+	w.confirmed = now
+	return w
+}
+
+// Restarted begins a warm-up.
+func (w Warmup) Restarted() Warmup {
+	w.epoch++
+	w.warm = false
+	w.successes = 0
+	w.usual, w.recent, w.samples = 0, 0, 0
+	return w
+}
+
+func (w Warmup) withoutEvidence() Warmup {
+	w.confirmed = time.Time{}
+	return w
+}
+
+// seen begins a warm-up if the incarnation is another one.
+func (w Warmup) seen(incarnation string) Warmup {
+	if incarnation == "" || incarnation == w.incarnation {
+		return w
+	}
+	known := w.incarnation != ""
+	w.previous, w.incarnation = w.incarnation, incarnation
+	w.disproved, w.listed = false, false
+	if known || w.warm {
+		return w.Restarted()
+	}
+	return w
+}
+
+func (w Warmup) withSample(took time.Duration) Warmup {
+	if w.samples == 0 {
+		w.usual, w.recent = took, took
+	}
+	w.samples++
+	clipped := min(took, clipFactor*w.usual+jumpFloor)
+	w.recent += time.Duration(recentWeight * float64(clipped-w.recent))
+	weight := max(usualWeight, 1/float64(w.samples))
+	if clipped < w.usual {
+		weight = max(weight, fallWeight)
+	}
+	w.usual += time.Duration(weight * float64(clipped-w.usual))
+	return w
+}
+
+func (w Warmup) hasJumped() bool { return w.isSlow(w.recent) }
+
+// isSlow tells whether a service time is far above the usual one.
+func (w Warmup) isSlow(took time.Duration) bool {
+	return w.samples > jumpSamples && took > jumpFactor*w.usual+jumpFloor
+}
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -1,7 +1,9 @@
-// Package relay holds the messages by which an instance sends work through an upstream's first home.
+// Package relay holds the messages by which an instance sends work through an upstream's home.
 package relay
 
 import (
+	"time"
+
 	"crocuswing/internal/upstream/signal"
 	"crocuswing/internal/wire/order"
 	"crocuswing/internal/wire/part"
@@ -19,8 +21,24 @@
 	Part   part.Reply    `msgpack:"p"`
 	Order  order.Reply   `msgpack:"o"`
 	Signal signal.Signal `msgpack:"s"`
-	Cold   bool          `msgpack:"c"` // what the home knows
 	Failed string        `msgpack:"f"`
 	NotRun bool          `msgpack:"n"`
 	Reason string        `msgpack:"r"`
+
+	// Cold tells that the home does not know the upstream to be warm.
+	Cold bool `msgpack:"c"`
+	// Incarnation is the upstream's last one that the home knows.
+	Incarnation string `msgpack:"i"`
+	// Elsewhere tells that another home may send what this one refused.
+	Elsewhere bool `msgpack:"e"`
+	// RetryAfter is the wait that the upstream asked for.
+	RetryAfter time.Duration `msgpack:"w"`
+}
+
+// Notice tells the other homes what one home saw of an upstream.
+type Notice struct {
+	Upstream    string `msgpack:"u"`
+	Incarnation string `msgpack:"i"`
+	Leaving     bool   `msgpack:"l"`
+	Cold        bool   `msgpack:"c"`
 }
