--- /dev/null
+++ b/internal/measure/fit/fit.go
@@ -0,0 +1,42 @@
+// Package fit fits a straight line through measured points by least squares.
+package fit
+
+import "math"
+
+// Point is one measured value y at size x.
+type Point struct{ X, Y float64 }
+
+// Fit is the line y = Intercept + Slope*x.
+type Fit struct {
+	Slope     float64
+	Intercept float64
+	// Residual is the greatest distance of a point from the line as a share of the point's value.
+	Residual float64
+}
+
+// Through fits a line through at least three points of different sizes, and reports whether it could.
+func Through(points []Point) (Fit, bool) {
+	const least = 3
+	n := float64(len(points))
+	var sumX, sumY, sumXX, sumXY float64
+	sizes := make(map[float64]bool)
+	for _, p := range points {
+		sizes[p.X] = true
+		sumX += p.X
+		sumY += p.Y
+		sumXX += p.X * p.X
+		sumXY += p.X * p.Y
+	}
+	if len(sizes) < least {
+		return Fit{}, false
+	}
+	f := Fit{Slope: (n*sumXY - sumX*sumY) / (n*sumXX - sumX*sumX)}
+	f.Intercept = (sumY - f.Slope*sumX) / n
+	for _, p := range points {
+		distance := math.Abs(f.Intercept + f.Slope*p.X - p.Y)
+		if p.Y != 0 {
+			f.Residual = max(f.Residual, distance/math.Abs(p.Y))
+		}
+	}
+	return f, true
+}
--- /dev/null
+++ b/internal/measure/page/page_test.go
@@ -0,0 +1,22 @@
+package page
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestRewrite(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "page.md")
+	require.NoError(t, os.WriteFile(file, []byte("head\n"+begin+"\nold\n"+end+"\ntail\n"), 0o600))
+	require.NoError(t, Open(file).Rewrite([]byte("new\n")))
+	text, err := os.ReadFile(file)
+	require.NoError(t, err)
+	require.Equal(t, "head\n"+begin+"\n\nnew\n\n"+end+"\ntail\n", string(text))
+
+	require.NoError(t, os.WriteFile(file, []byte("no marks"), 0o600))
+	var markErr *MarkError
+	require.ErrorAs(t, Open(file).Rewrite(nil), &markErr)
+}
--- /dev/null
+++ b/internal/measure/series/series_test.go
@@ -0,0 +1,34 @@
+package series
+
+import (
+	"testing"
+
+	"crocuswing/internal/measure/line"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestRowsAndSlopes(t *testing.T) {
+	s := New()
+	for _, text := range []string{
+		"BenchmarkChoose/n=10/near-8   \t 1000\t 110 ns/op\t 16 B/op",
+		"BenchmarkChoose/n=10/near-8   \t 1000\t 130 ns/op\t 16 B/op",
+		"BenchmarkChoose/n=10/near-8   \t 1000\t 120 ns/op\t 16 B/op",
+		"BenchmarkChoose/n=20/near-8   \t 1000\t 220 ns/op\t 16 B/op",
+		"BenchmarkChoose/n=30/near-8   \t 1000\t 320 ns/op\t 16 B/op",
+		"BenchmarkMint-8   \t 1000\t 900 ns/op",
+	} {
+		l, ok := line.Parse(text, "p")
+		require.True(t, ok, text)
+		s.Add(l)
+	}
+	require.Equal(t, Row{Package: "p", Name: "Choose/near", Unit: "ns/op", Size: 10, HasSize: true, Median: 120, Lowest: 110, Most: 130, Runs: 3}, s.Rows()[3])
+	slopes := s.Slopes()
+	require.Len(t, slopes, 2)
+	require.InDelta(t, 10, slopes[1].Slope, 1e-9)
+	require.InDelta(t, 20, slopes[1].Intercept, 1e-9)
+	for _, text := range []string{"ok  \tp\t0.1s", "BenchmarkX", "BenchmarkX-8 10 x ns/op"} {
+		_, ok := line.Parse(text, "p")
+		require.False(t, ok, text)
+	}
+}
