fix: doubt an upstream that another home saw become cold

Cause: in the case of a cold start without a new incarnation, one home found the jump of service times and began a warm-up, the first home stayed unproven for good (a slow answer was sampled without a check for a jump), and a home's answers in flight proved the upstream warm again. Change: slow answers lead to a warm-up also while unproven; a doubt begins a new epoch, so that attempts sent before prove nothing; relays carry the doubt of their sender; outliers do not move the usual time.

--- a/internal/upstream/dispatch/attempt.go
+++ b/internal/upstream/dispatch/attempt.go
@@ -60,6 +60,9 @@
 	if !ok {
 		return relay.Reply{Failed: failure.KindForbidden, NotRun: true, Reason: "the upstream is unknown", Cold: true}
 	}
+	if q.Doubt {
+		t.Told(q.Incarnation, false, true)
+	}
 	reply, err := d.direct(ctx, t, q)
 	reply.Cold, reply.Incarnation = t.IsCold(), t.Incarnation()
 	var f *failure.Failure
@@ -79,6 +82,7 @@
 	end := d.hops.begin(hop)
 	defer end()
 	start := time.Now()
+	q.Doubt, q.Incarnation = t.IsDoubted(), t.Incarnation()
 	reply, err := d.relayer.Relay(ctx, hop, q)
 	if err != nil {
 		t.EndRelay()
--- a/internal/upstream/target/slot.go
+++ b/internal/upstream/target/slot.go
@@ -86,13 +86,14 @@
 	t.note(now, r.Signal)
 	t.record(now, s, r)
 	after := t.work.warmup
-	if after.Epoch() != before.Epoch() {
+	restarted := after.Restarts() != before.Restarts()
+	if restarted {
 		t.work.limit = t.work.limit.WithStart(t.contract.ColdSlots)
 	}
 	t.work.inFlight--
 	t.settle(now)
 	return Change{
-		Restarted:   after.Epoch() != before.Epoch(),
+		Restarted:   restarted,
 		Warmed:      before.Phase(now) == warmup.Cold && after.Phase(now) == warmup.Warm,
 		Left:        !wasLeaving && t.departure.IsLeaving(now),
 		Incarnation: after.Incarnation(),
@@ -147,7 +148,7 @@
 	}
 	t.toldWarm = warm
 	if t.work != nil && warm {
-		t.work.warmup = t.work.warmup.WithTold(now, incarnation, true)
+		t.work.warmup = t.work.warmup.WithToldWarm(now, warmup.Answer{Incarnation: incarnation, ReportsCold: s.Cold})
 	}
 	t.settle(now)
 }
@@ -164,7 +165,7 @@
 		t.toldWarm = false
 	}
 	if cold && t.work != nil {
-		t.work.warmup = t.work.warmup.WithTold(now, incarnation, false)
+		t.work.warmup = t.work.warmup.WithToldCold(incarnation)
 	}
 	t.settle(now)
 }
--- a/internal/upstream/target/target.go
+++ b/internal/upstream/target/target.go
@@ -257,6 +257,13 @@
 	return t.work.warmup.Incarnation()
 }
 
+// IsDoubted tells whether this home itself saw the upstream become cold.
+func (t *Target) IsDoubted() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.work != nil && t.work.warmup.HasRestarted()
+}
+
 // IsCold tells whether the upstream is not known to be warm.
 func (t *Target) IsCold() bool { return t.Phase(time.Now()) != warmup.Warm }
 
--- a/internal/upstream/warmup/warmup.go
+++ b/internal/upstream/warmup/warmup.go
@@ -12,9 +12,9 @@
 	EvidenceAge = 3 * time.Second
 
 	reportedFactor = 2 // a report of "cold" asks for this many times the successes
-	jumpFactor     = 4 // recent service time, as a multiple of the usual, that starts a warm-up
-	clipFactor     = 8 // a single service time counts at most as this multiple of the usual
-	jumpFloor      = 5 * time.Millisecond
+	jumpFactor     = 3 // recent service time, as a multiple of the usual, that starts a warm-up
+	clipFactor     = 6 // a single service time counts at most as this multiple of the usual
+	jumpFloor      = 2 * time.Millisecond
 	jumpSamples    = 8 // answers needed before the usual service time is trusted
 	recentWeight   = 0.2
 	usualWeight    = 0.02
@@ -62,6 +62,7 @@
 type Warmup struct {
 	needed      int // successes that end a warm-up
 	epoch       uint64
+	restarts    int
 	incarnation string
 	previous    string // the incarnation before
 	successes   int
@@ -78,7 +79,8 @@
 // New makes the state of an upstream of which nothing is known.
 func New(warmAfter int) Warmup { return Warmup{needed: warmAfter, epoch: 1} }
 
-// Epoch grows with each start of a warm-up.
+// Epoch grows with each start of a warm-up and each doubt. Results of attempts that were sent in a
+// former epoch change nothing.
 func (w Warmup) Epoch() uint64 { return w.epoch }
 
 // Incarnation is the last one seen.
@@ -95,6 +97,13 @@
 	return Warm
 }
 
+// HasRestarted tells whether the instance itself saw the upstream become cold, and nothing since
+// that ended the warm-up.
+func (w Warmup) HasRestarted() bool { return !w.warm && w.restarts > 0 }
+
+// Restarts is the number of warm-ups that began anew.
+func (w Warmup) Restarts() int { return w.restarts }
+
 // WithSuccess records a successful answer.
 func (w Warmup) WithSuccess(now time.Time, a Answer) Warmup {
 	if a.Epoch != w.epoch {
@@ -105,16 +114,17 @@
 	case phase == Cold:
 		return w.withWarming(now, a)
 	case phase == Unproven && a.Incarnation == "":
-		return w.Restarted().withWarming(now, Answer{Epoch: a.Epoch + 1, Took: a.Took})
+		return w.Restarted().withWarming(now, Answer{Took: a.Took})
 	case a.ReportsCold && !w.disproved:
 		return w.Restarted()
-	case phase == Unproven && w.isSlow(a.Took):
-		return w.withSample(a.Took)
 	}
+	slow := w.isSlow(a.Took)
 	if w = w.withSample(a.Took); w.hasJumped() {
 		return w.Restarted()
 	}
-	w.confirmed = now
+	if !slow || w.Phase(now) == Warm {
+		w.confirmed = now // a slow answer proves nothing
+	}
 	return w
 }
 
@@ -180,36 +190,47 @@
 	if !w.warm || w.listed {
 		return w
 	}
-	w.listed = true
+	w.listed = true // once for each incarnation
 	return w.withoutEvidence()
 }
 
-// WithTold records what another home saw: that the incarnation is warm, or that it may be cold.
-func (w Warmup) WithTold(now time.Time, incarnation string, warm bool) Warmup {
-	if incarnation != "" && incarnation == w.previous {
+// WithToldWarm records that another home knows the answer's incarnation to be warm.
+func (w Warmup) WithToldWarm(now time.Time, a Answer) Warmup {
+	if a.Incarnation != "" && a.Incarnation == w.previous {
 		return w // older than what is known here
 	}
-	if !warm {
-		return w.withoutEvidence()
-	}
-	if incarnation != w.incarnation {
-		w = w.seen(incarnation)
-	}
+	w = w.seen(a.Incarnation)
 	w.warm = true
 	w.confirmed = now
+	w.disproved = w.disproved || a.ReportsCold
 	return w
 }
 
+// WithToldCold records that another home doubts that the incarnation is warm.
+func (w Warmup) WithToldCold(incarnation string) Warmup {
+	if incarnation != "" && incarnation == w.previous {
+		return w // older than what is known here
+	}
+	return w.withoutEvidence()
+}
+
 // Restarted begins a warm-up.
 func (w Warmup) Restarted() Warmup {
 	w.epoch++
+	w.restarts++
 	w.warm = false
 	w.successes = 0
 	w.usual, w.recent, w.samples = 0, 0, 0
 	return w
 }
 
+// withoutEvidence asks for new evidence; attempts sent before give none. A repeated doubt changes
+// nothing, so that many doubts cannot discard each new evidence.
 func (w Warmup) withoutEvidence() Warmup {
+	if !w.warm || w.confirmed.IsZero() {
+		return w
+	}
+	w.epoch++
 	w.confirmed = time.Time{}
 	return w
 }
@@ -235,6 +256,9 @@
 	w.samples++
 	clipped := min(took, clipFactor*w.usual+jumpFloor)
 	w.recent += time.Duration(recentWeight * float64(clipped-w.recent))
+	if w.isSlow(took) {
+		return w // an outlier says nothing about the usual service time
+	}
 	weight := max(usualWeight, 1/float64(w.samples))
 	if clipped < w.usual {
 		weight = max(weight, fallWeight)
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -14,6 +14,10 @@
 	Upstream string         `msgpack:"u"`
 	Part     *part.Request  `msgpack:"p"`
 	Order    *order.Request `msgpack:"o"`
+
+	// Doubt tells that the sender, a home, saw the upstream become cold under Incarnation.
+	Doubt       bool   `msgpack:"d"`
+	Incarnation string `msgpack:"i"`
 }
 
 // Reply is the result of the attempt. Failed is empty on success, else the kind of failure.
