feat: bound and watch the connections to each upstream

Cause: the transport's own pool could not change its share while it runs, closed only idle connections after a crossed reply, took 'got a connection' for 'bytes were sent', and kept requests on connections that a middlebox had lost track of.

Change: each connection has a transport of its own that can dial no second one; the pool counts a connection from its dial until the upstream closed its end; the monitor abandons parts on silent connections; keep-alive and TCP_USER_TIMEOUT are set on each.

Figures: under synctest with one of six connections silent, the slowest request takes less than 200 ms in place of the deadline of 1 s that the naive policy waits.

--- /dev/null
+++ b/internal/upstream/connection/connection_test.go
@@ -0,0 +1,72 @@
+package connection
+
+import (
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"crocuswing/internal/standin/network"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestSealInsideWrite ends a blocked write and counts exactly the bytes that left.
+func TestSealInsideWrite(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		read int // bytes that the other end takes before it stalls
+		sent bool
+	}{
+		{name: "nothing left", read: 0, sent: false},
+		{name: "one byte left", read: 1, sent: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				defer far.Close()
+				s := newStream(near, func() {})
+				s.mark()
+				go func() { _, _ = s.Write([]byte("request")) }()
+				_, err := far.Read(make([]byte, c.read))
+				require.NoError(t, err)
+				synctest.Wait()
+				require.Equal(t, c.sent, s.seal())
+				_, err = s.Write([]byte("late"))
+				require.ErrorIs(t, err, net.ErrClosed)
+				require.NoError(t, s.Close())
+				time.Sleep(LingerTime)
+			})
+		})
+	}
+}
+
+// TestClose tells how long the upstream may count a closed connection.
+func TestClose(t *testing.T) {
+	const delay = 100 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		silent bool
+		want   time.Duration
+	}{
+		{name: "upstream closes its end", want: delay},
+		{name: "upstream does not answer", silent: true, want: LingerTime},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near, far := network.Pipe("u")
+				if c.silent {
+					far.Silence()
+				}
+				gone := make(chan time.Time, 1)
+				start := time.Now()
+				conn := New(near, func() { gone <- time.Now() })
+				conn.Close()
+				require.True(t, conn.IsClosed())
+				time.Sleep(delay)
+				require.NoError(t, far.Close())
+				require.Equal(t, c.want, (<-gone).Sub(start))
+			})
+		})
+	}
+}
--- a/internal/upstream/directory/directory.go
+++ b/internal/upstream/directory/directory.go
@@ -89,12 +89,13 @@
 	if t, ok := d.targets[name]; !ok || t.Contract() != c {
 		d.targets[name] = target.New(name, c)
 	}
-	old, ok := d.links[name]
-	if ok && old.Address() == m.Address {
-		return
-	}
-	if ok {
-		old.Close()
+	share := max(1, c.Connections/max(1, homes))
+	l, ok := d.links[name]
+	if !ok {
+		l = link.New(name, m.Address, share)
+		d.links[name] = l
 	}
-	d.links[name] = link.New(name, m.Address, max(1, c.Connections/max(1, homes)))
+	l.Move(m.Address)
+	l.SetShare(share)
+	l.SetLeaving(!v.Permits(name))
 }
--- a/internal/upstream/failure/failure.go
+++ b/internal/upstream/failure/failure.go
@@ -17,6 +17,8 @@
 	KindTimeout      = "timeout"       // no answer in time
 	KindCanceled     = "canceled"      // the request was withdrawn
 	KindForbidden    = "forbidden"     // leaving, out, unknown or above its limit
+	KindSilent       = "silent"        // the connection delivered nothing while others to the upstream did
+	KindConnections  = "connections"   // no connection of the share is free
 	KindRelay        = "relay"         // the instance on the way did not answer
 	KindStatus       = "status"        // any other answer
 )
--- /dev/null
+++ b/internal/upstream/link/exchange.go
@@ -0,0 +1,148 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"crocuswing/internal/upstream/connection"
+	"crocuswing/internal/upstream/failure"
+	"crocuswing/internal/upstream/signal"
+	"crocuswing/internal/upstream/silence"
+	"crocuswing/internal/wire/header"
+	"crocuswing/internal/wire/part"
+)
+
+// message is one request with the place for its reply. check compares the two.
+type message struct {
+	path, id string
+	body     any
+	reply    any
+	check    func() error
+	patience patience
+}
+
+// exchange is one request on one connection.
+type exchange struct {
+	*Link
+	message
+	conn    *connection.Connection
+	attempt *silence.Attempt
+	reused  bool
+}
+
+func (l *Link) begin(c *connection.Connection, m message) *exchange {
+	x := &exchange{Link: l, message: m, conn: c, reused: c.Begin()}
+	abandon := func() { l.pool.Abandon(c) }
+	if m.patience == untilDeadline {
+		abandon = nil
+	}
+	x.attempt = l.monitor.Begin(c.Received, abandon)
+	return x
+}
+
+// run fails with *failure.Failure, or with connection.ErrSpent if another connection may be tried.
+func (x *exchange) run(ctx context.Context, text []byte) (signal.Signal, error) {
+	resp, err := x.post(ctx, text)
+	if err != nil {
+		return signal.Signal{Load: -1}, x.broken(ctx, err)
+	}
+	defer resp.Body.Close()
+	return x.read(ctx, resp)
+}
+
+// post sends the request. Its body cannot be rewound and it carries no idempotency key, so that
+// no transport would send it twice.
+func (x *exchange) post(ctx context.Context, text []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+x.Address()+x.path, io.NopCloser(bytes.NewReader(text)))
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(text))
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(header.RequestID, x.id)
+	if deadline, ok := ctx.Deadline(); ok {
+		left := max(time.Until(deadline).Milliseconds(), 1)
+		req.Header.Set(header.DeadlineMS, strconv.FormatInt(left, 10))
+	}
+	return x.conn.RoundTrip(req)
+}
+
+// read takes the whole answer. A connection that delivered another request's or a malformed
+// answer is closed, since what follows on it cannot be trusted.
+func (x *exchange) read(ctx context.Context, resp *http.Response) (signal.Signal, error) {
+	sig := signal.From(resp.StatusCode, resp.Header)
+	if sig.Leaving {
+		x.pool.LeaveUntil(time.Now().Add(leavingHold))
+	}
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return sig, x.broken(ctx, err)
+	}
+	if err := crossed(x.id, resp.Header.Get(header.RequestID)); err != nil {
+		return sig, x.mismatch(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		x.end(true, true)
+		return sig, x.statusFailure(resp, sig)
+	}
+	if err := json.Unmarshal(text, x.reply); err != nil {
+		return sig, x.mismatch(err)
+	}
+	if err := x.check(); err != nil {
+		return sig, x.mismatch(err)
+	}
+	x.end(true, true)
+	return sig, nil
+}
+
+// end gives the connection back, which stays open only if it is healthy, and reports whether it was
+// found silent.
+func (x *exchange) end(answered, healthy bool) (silent bool) {
+	silent = x.attempt.End(answered)
+	x.pool.Release(x.conn, healthy)
+	return silent
+}
+
+// broken classifies an error of the connection. NotRun is true exactly if no byte was sent.
+func (x *exchange) broken(ctx context.Context, err error) error {
+	sent := x.conn.Seal()
+	silent := x.end(false, false)
+	switch {
+	case silent:
+		return x.fail(failure.KindSilent, !sent, err)
+	case errors.Is(ctx.Err(), context.Canceled):
+		return x.fail(failure.KindCanceled, !sent, err)
+	case ctx.Err() != nil:
+		return x.fail(failure.KindTimeout, !sent, err)
+	case !sent && x.reused:
+		return connection.ErrSpent
+	case !sent:
+		return x.fail(failure.KindRefused, true, err)
+	}
+	return x.fail(failure.KindReset, false, err)
+}
+
+// mismatch closes the connection that delivered a wrong reply.
+func (x *exchange) mismatch(err error) error {
+	x.end(true, false)
+	kind := failure.KindIncomplete
+	var wrong *part.CrossedError
+	if errors.As(err, &wrong) {
+		kind = failure.KindCrossed
+		x.crossed.Add(1)
+	}
+	return x.fail(kind, false, err)
+}
+
+func crossed(want, got string) error {
+	if want == got {
+		return nil
+	}
+	return &part.CrossedError{Want: want, Got: got}
+}
--- a/internal/upstream/link/link.go
+++ b/internal/upstream/link/link.go
@@ -2,141 +2,139 @@
 package link
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"strconv"
 	"sync/atomic"
 	"time"
 
+	"crocuswing/internal/network/socket"
+	"crocuswing/internal/upstream/connection"
 	"crocuswing/internal/upstream/failure"
+	"crocuswing/internal/upstream/pool"
 	"crocuswing/internal/upstream/signal"
+	"crocuswing/internal/upstream/silence"
 	"crocuswing/internal/wire/header"
 	"crocuswing/internal/wire/order"
 	"crocuswing/internal/wire/part"
 )
 
 const (
-	dialTimeout    = 2 * time.Second
-	idleTimeout    = 90 * time.Second
-	keepAliveEvery = 5 * time.Second
-	maxReplyBytes  = 4 << 20
+	dialTimeout   = 2 * time.Second
+	maxReplyBytes = 4 << 20
+	leavingHold   = 5 * time.Second // how long an answer's leaving signal forbids new work
+)
+
+// patience tells whether an attempt is given up when its connection is found silent.
+type patience int
+
+const (
+	// untilSilent suits attempts that another upstream may repeat.
+	untilSilent patience = iota
+	// untilDeadline suits those that may not be repeated: giving up early gains nothing.
+	untilDeadline
 )
 
 // Link holds the connections to one upstream.
 type Link struct {
 	name    string
-	address string
-	client  *http.Client
-	pool    *http.Transport
+	pool    *pool.Pool
+	monitor *silence.Monitor
+	crossed atomic.Int64
+}
+
+// Option changes how a link is made.
+type Option func(*options)
+
+type options struct{ dial pool.Dial }
+
+// WithDial opens connections by dial in place of TCP.
+func WithDial(dial pool.Dial) Option {
+	return func(o *options) { o.dial = dial }
+}
+
+// Stats counts the connections of a link and the replies that belonged to other requests.
+type Stats struct {
+	pool.Stats
+	Crossed int64
 }
 
 // New makes a link with at most connections open connections to address, an IP literal and a port.
-func New(name, address string, connections int) *Link {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveEvery}
-	pool := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+func New(name, address string, connections int, with ...Option) *Link {
+	o := options{dial: dialTCP}
+	for _, set := range with {
+		set(&o)
 	}
-	return &Link{name: name, address: address, pool: pool, client: &http.Client{Transport: pool}}
+	return &Link{name: name, pool: pool.New(address, connections, o.dial), monitor: silence.New()}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return socket.Dialer(dialTimeout).DialContext(ctx, "tcp", address)
 }
 
 // Address is the upstream's address.
-func (l *Link) Address() string { return l.address }
+func (l *Link) Address() string { return l.pool.Address() }
 
 // Close closes the idle connections; those in use close when their request ends.
-func (l *Link) Close() { l.pool.CloseIdleConnections() }
+func (l *Link) Close() { l.pool.Close() }
+
+// Move follows the upstream to another address. Connections to the former one count until closed.
+func (l *Link) Move(address string) { l.pool.Move(address) }
+
+// SetShare changes the highest number of connections.
+func (l *Link) SetShare(connections int) { l.pool.SetShare(connections) }
+
+// SetLeaving refuses requests while new work is forbidden; those in flight finish.
+func (l *Link) SetLeaving(leaving bool) { l.pool.SetLeaving(leaving) }
+
+// Stats gives the counts so far.
+func (l *Link) Stats() Stats { return Stats{Stats: l.pool.Stats(), Crossed: l.crossed.Load()} }
 
 // Part asks for one shard's part. It fails with *failure.Failure.
 func (l *Link) Part(ctx context.Context, q part.Request) (part.Reply, signal.Signal, error) {
+	return l.part(ctx, q, untilSilent)
+}
+
+func (l *Link) part(ctx context.Context, q part.Request, p patience) (part.Reply, signal.Signal, error) {
 	var reply part.Reply
-	sig, err := l.exchange(ctx, "/v1/part", q.RequestID, q, &reply)
+	check := func() error { return reply.Check(q) }
+	sig, err := l.exchange(ctx, message{path: "/v1/part", id: q.RequestID, body: q, reply: &reply, check: check, patience: p})
 	if err != nil {
 		return part.Reply{}, sig, err
 	}
-	if err := reply.Check(q); err != nil {
-		return part.Reply{}, sig, l.mismatch(err)
-	}
 	return reply, sig, nil
 }
 
 // Order runs one order. It fails with *failure.Failure, whose NotRun tells whether another try is safe.
 func (l *Link) Order(ctx context.Context, q order.Request) (order.Reply, signal.Signal, error) {
 	var reply order.Reply
-	sig, err := l.exchange(ctx, "/v1/order", q.RequestID, q, &reply)
+	check := func() error { return crossed(q.RequestID, reply.RequestID) }
+	sig, err := l.exchange(ctx, message{path: "/v1/order", id: q.RequestID, body: q, reply: &reply, check: check, patience: untilDeadline})
 	if err != nil {
 		return order.Reply{}, sig, err
 	}
-	if reply.RequestID != q.RequestID {
-		return order.Reply{}, sig, l.mismatch(&part.CrossedError{Want: q.RequestID, Got: reply.RequestID})
-	}
 	return reply, sig, nil
 }
 
-// mismatch closes the idle connections, since one of them delivered a wrong reply.
-func (l *Link) mismatch(err error) error {
-	l.pool.CloseIdleConnections()
-	kind := failure.KindIncomplete
-	var crossed *part.CrossedError
-	if errors.As(err, &crossed) {
-		kind = failure.KindCrossed
-	}
-	return &failure.Failure{Upstream: l.name, Kind: kind, Err: err}
-}
-
-// exchange posts one message and decodes its answer. The body cannot be rewound and the request
-// carries no idempotency key, so the transport never sends it twice.
-func (l *Link) exchange(ctx context.Context, path, id string, message, reply any) (signal.Signal, error) {
-	text, err := json.Marshal(message)
+// exchange posts one message and decodes its answer on one connection. Where a reused connection
+// turns out to be closed before a byte was sent, another one takes its place.
+func (l *Link) exchange(ctx context.Context, m message) (signal.Signal, error) {
+	text, err := json.Marshal(m.body)
 	if err != nil {
 		return signal.Signal{Load: -1}, l.fail(failure.KindIncomplete, true, err)
 	}
-	var wrote atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost,
-		"http://"+l.address+path, io.NopCloser(bytes.NewReader(text)))
-	if err != nil {
-		return signal.Signal{Load: -1}, l.fail(failure.KindIncomplete, true, err)
-	}
-	req.ContentLength = int64(len(text))
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(header.RequestID, id)
-	if deadline, ok := ctx.Deadline(); ok {
-		left := max(time.Until(deadline).Milliseconds(), 1)
-		req.Header.Set(header.DeadlineMS, strconv.FormatInt(left, 10))
-	}
-	resp, err := l.client.Do(req)
-	if err != nil {
-		return signal.Signal{Load: -1}, l.transportFailure(ctx, wrote.Load(), err)
-	}
-	defer resp.Body.Close()
-	return l.read(ctx, resp, id, reply)
-}
-
-func (l *Link) read(ctx context.Context, resp *http.Response, id string, reply any) (signal.Signal, error) {
-	sig := signal.From(resp.StatusCode, resp.Header)
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
-	if err != nil {
-		return sig, l.transportFailure(ctx, true, err)
-	}
-	if got := resp.Header.Get(header.RequestID); got != id {
-		return sig, l.mismatch(&part.CrossedError{Want: id, Got: got})
+	for {
+		c, err := l.pool.Acquire(ctx)
+		if err != nil {
+			return signal.Signal{Load: -1}, l.acquireFailure(ctx, err)
+		}
+		sig, err := l.begin(c, m).run(ctx, text)
+		if !errors.Is(err, connection.ErrSpent) {
+			return sig, err
+		}
 	}
-	if resp.StatusCode != http.StatusOK {
-		return sig, l.statusFailure(resp, sig)
-	}
-	if err := json.Unmarshal(text, reply); err != nil {
-		return sig, l.fail(failure.KindIncomplete, false, err)
-	}
-	return sig, nil
 }
 
 func (l *Link) statusFailure(resp *http.Response, sig signal.Signal) error {
@@ -156,17 +154,21 @@
 	return f
 }
 
-// transportFailure classifies an error of the transport; connected tells whether a connection was in use.
-func (l *Link) transportFailure(ctx context.Context, connected bool, err error) error {
+// acquireFailure classifies an error before any connection was in use.
+func (l *Link) acquireFailure(ctx context.Context, err error) error {
+	var dial *pool.DialError
+	var leaving *pool.LeavingError
 	switch {
+	case errors.As(err, &dial):
+		return l.fail(failure.KindRefused, true, err)
+	case errors.As(err, &leaving), errors.Is(err, pool.ErrClosed):
+		return l.fail(failure.KindForbidden, true, err)
 	case errors.Is(ctx.Err(), context.Canceled):
-		return l.fail(failure.KindCanceled, !connected, err)
+		return l.fail(failure.KindCanceled, true, err)
 	case ctx.Err() != nil:
-		return l.fail(failure.KindTimeout, !connected, err)
-	case !connected:
-		return l.fail(failure.KindRefused, true, err)
+		return l.fail(failure.KindTimeout, true, err)
 	}
-	return l.fail(failure.KindReset, false, err)
+	return l.fail(failure.KindConnections, true, err)
 }
 
 func (l *Link) fail(kind string, notRun bool, err error) error {
--- /dev/null
+++ b/internal/upstream/link/link_test.go
@@ -0,0 +1,363 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"crocuswing/internal/standin/network"
+	"crocuswing/internal/standin/upstream"
+	"crocuswing/internal/upstream/connection"
+	"crocuswing/internal/upstream/contract"
+	"crocuswing/internal/upstream/failure"
+	"crocuswing/internal/wire/header"
+	"crocuswing/internal/wire/order"
+	"crocuswing/internal/wire/part"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	address     = "10.0.0.1:80"
+	dialCost    = 6 * time.Millisecond
+	serviceTime = 5 * time.Millisecond
+)
+
+// rig is one upstream on a network in memory with a link to it.
+type rig struct {
+	*testing.T
+	net      *network.Network
+	listener *network.Listener
+	server   *http.Server
+	*Link
+	number   atomic.Int64
+	patience patience
+	slowest  atomic.Int64 // duration of the slowest request of load
+}
+
+func newRig(t *testing.T, limit, share int, handler http.Handler) *rig {
+	r := &rig{T: t, net: network.New(dialCost)}
+	r.listener, r.server = r.listen(address, limit, handler)
+	r.Link = New("u", address, share, WithDial(r.net.Dial))
+	return r
+}
+
+func (r *rig) listen(address string, limit int, handler http.Handler) (*network.Listener, *http.Server) {
+	l := r.net.Listen(address, limit)
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(l) }()
+	return l, server
+}
+
+// stop ends everything that runs in the bubble.
+func (r *rig) stop() {
+	r.Close()
+	_ = r.server.Close()
+	time.Sleep(2 * connection.LingerTime)
+}
+
+func newUpstream(limit int) *upstream.Upstream {
+	u := upstream.New("u", contract.Contract{Slots: 2, Connections: limit, ColdSlots: 1, WarmAfter: 1}, serviceTime, 1)
+	u.SetSnapshots("s1")
+	return u
+}
+
+func (r *rig) ask(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	id := fmt.Sprint(r.number.Add(1))
+	q := part.Request{RequestID: id, Service: "s", Shard: "h", Snapshot: "s1", Query: "q"}
+	_, _, err := r.part(ctx, q, r.patience)
+	return err
+}
+
+// kindOf gives the kind of a failed attempt and whether it is proved not to have run.
+func kindOf(t *testing.T, err error) (string, bool) {
+	if err == nil {
+		return "", false
+	}
+	var f *failure.Failure
+	require.ErrorAs(t, err, &f)
+	return f.Kind, f.NotRun
+}
+
+// load sends n requests at a time until stopped and counts results by kind.
+func (r *rig) load(n int, timeout time.Duration) (stop func() map[string]int) {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	kinds := make(map[string]int)
+	ended := make(chan struct{})
+	for range n {
+		group.Go(func() {
+			for {
+				select {
+				case <-ended:
+					return
+				default:
+				}
+				start := time.Now()
+				kind, _ := kindOf(r.T, r.ask(timeout))
+				mu.Lock()
+				kinds[kind]++
+				r.slowest.Store(max(r.slowest.Load(), int64(time.Since(start))))
+				mu.Unlock()
+				if kind != "" {
+					time.Sleep(time.Millisecond)
+				}
+			}
+		})
+	}
+	return func() map[string]int {
+		close(ended)
+		group.Wait()
+		return kinds
+	}
+}
+
+func TestReuseBeforeOpening(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 25, 6, newUpstream(25))
+		defer r.stop()
+		for range 100 {
+			require.NoError(t, r.ask(time.Second))
+		}
+		require.EqualValues(t, 1, r.Stats().Opened)
+		require.EqualValues(t, 99, r.Stats().Reused)
+		require.Equal(t, dialCost, r.Stats().OpenTime)
+	})
+}
+
+// TestSilentLink has the naive policy beside, which waits for each deadline.
+func TestSilentLink(t *testing.T) {
+	const deadline = time.Second
+	for _, c := range []struct {
+		name   string
+		silent int // connections that go silent together
+		share  int
+		naive  bool
+	}{
+		{name: "naive", silent: 1, share: 6, naive: true},
+		{name: "one of six", silent: 1, share: 6},
+		{name: "two of six", silent: 2, share: 6},
+		{name: "one of two", silent: 1, share: 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, c.share, c.share, newUpstream(25))
+				defer r.stop()
+				if c.naive {
+					r.patience = untilDeadline
+				}
+				stop := r.load(c.share-1, deadline)
+				time.Sleep(200 * time.Millisecond)
+				for _, conn := range r.listener.Conns()[:c.silent] {
+					conn.Silence()
+				}
+				time.Sleep(deadline + deadline/5)
+				kinds := stop()
+				require.LessOrEqual(t, r.Stats().Counted, c.share)
+				require.LessOrEqual(t, r.listener.Peak(), c.share)
+				require.Zero(t, r.listener.Refused())
+				if c.naive {
+					require.Equal(t, c.silent, kinds[failure.KindTimeout])
+					require.EqualValues(t, deadline, r.slowest.Load())
+					return
+				}
+				require.Equal(t, c.silent, kinds[failure.KindSilent])
+				require.Zero(t, kinds[failure.KindTimeout])
+				require.Less(t, r.slowest.Load(), int64(deadline/5))
+				require.Equal(t, c.silent, r.Stats().AbandonedNow)
+				time.Sleep(connection.LingerTime)
+				require.Zero(t, r.Stats().AbandonedNow)
+			})
+		})
+	}
+}
+
+func TestFailures(t *testing.T) {
+	type attempt = func(*rig) error
+	part := func(r *rig) error { return r.ask(time.Second) }
+	for _, c := range []struct {
+		name    string
+		handler http.HandlerFunc
+		before  func(*rig)
+		attempt attempt
+		kind    string
+		notRun  bool
+		closed  bool // the connection in use is closed
+	}{
+		{name: "refused", before: func(r *rig) { _ = r.listener.Close() }, attempt: part, kind: failure.KindRefused, notRun: true},
+		{name: "leaving", before: func(r *rig) { r.SetLeaving(true) }, attempt: part, kind: failure.KindForbidden, notRun: true},
+		{name: "no longer listed", before: func(r *rig) { r.Close() }, attempt: part, kind: failure.KindForbidden, notRun: true},
+		{
+			name: "crossed", handler: answer("other", `{}`), attempt: part,
+			kind: failure.KindCrossed, closed: true,
+		},
+		{
+			name: "crossed inside", handler: answer("1", `{"request-id": "other"}`), attempt: part,
+			kind: failure.KindCrossed, closed: true,
+		},
+		{name: "malformed", handler: answer("1", `{`), attempt: part, kind: failure.KindIncomplete, closed: true},
+		{
+			name: "rows missing", handler: answer("1", `{"request-id":"1","service":"s","shard":"h","snapshot":"s1","count":1}`),
+			attempt: part, kind: failure.KindIncomplete, closed: true,
+		},
+		{name: "reset", handler: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, attempt: part, kind: failure.KindReset},
+		{name: "timeout", handler: hang, attempt: part, kind: failure.KindTimeout},
+		{name: "timeout in the dial", attempt: func(r *rig) error { return r.ask(dialCost / 2) }, kind: failure.KindTimeout, notRun: true},
+		{name: "shed", handler: shed, attempt: part, kind: failure.KindShed, notRun: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, 4, 4, c.handler)
+				defer r.stop()
+				if c.before != nil {
+					c.before(r)
+				}
+				kind, notRun := kindOf(t, c.attempt(r))
+				require.Equal(t, c.kind, kind)
+				require.Equal(t, c.notRun, notRun)
+				synctest.Wait()
+				if c.closed {
+					require.Zero(t, r.listener.Open())
+				}
+			})
+		})
+	}
+}
+
+// answer replies with the identifier in the header and the text as body.
+func answer(id, text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(header.RequestID, id)
+		_, _ = io.WriteString(w, text)
+	}
+}
+
+func hang(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+func shed(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
+	w.Header().Set(header.NotRun, "true")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// TestStaleConnection reuses a connection that the upstream closed: no byte was sent, so another is taken.
+func TestStaleConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 4, 4, newUpstream(25))
+		defer r.stop()
+		require.NoError(t, r.ask(time.Second))
+		require.NoError(t, r.listener.Conns()[0].Close())
+		require.NoError(t, r.ask(time.Second))
+		require.EqualValues(t, 2, r.Stats().Opened)
+	})
+}
+
+// TestConnectionLimit loads a share with more requests than connections, through changes of address
+// and share, canceled requests and a silent link.
+func TestConnectionLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const share = 5
+		u := newUpstream(share)
+		r := newRig(t, share, share, u)
+		defer r.stop()
+		stop := r.load(20, 30*time.Millisecond) // many time out and close their connection
+		time.Sleep(300 * time.Millisecond)
+		r.listener.Conns()[0].Silence()
+		time.Sleep(300 * time.Millisecond)
+		const next = "10.0.0.2:80"
+		moved, server := r.listen(next, share, u)
+		defer server.Close()
+		r.Move(next)
+		time.Sleep(300 * time.Millisecond)
+		r.SetShare(2)
+		kinds := stop()
+		require.Positive(t, kinds[""])
+		synctest.Wait()
+		require.LessOrEqual(t, r.Stats().Counted, 2)
+		require.LessOrEqual(t, r.listener.Peak(), share)
+		require.LessOrEqual(t, moved.Peak(), share)
+		require.Zero(t, r.listener.Refused()+moved.Refused())
+		require.Zero(t, u.Record().OverConnected)
+	})
+}
+
+// TestExhausted fails fast once silent connections use up the share.
+func TestExhausted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1, 1, newUpstream(25))
+		defer r.stop()
+		require.NoError(t, r.ask(time.Second))
+		c, err := r.pool.Acquire(context.Background())
+		require.NoError(t, err)
+		r.listener.Conns()[0].Silence()
+		r.pool.Abandon(c)
+		kind, notRun := kindOf(t, r.ask(time.Second))
+		require.Equal(t, failure.KindConnections, kind)
+		require.True(t, notRun)
+		require.Equal(t, 1, r.listener.Open())
+	})
+}
+
+// TestLeavingWhileLoaded lets the requests in flight finish and refuses those that wait for a connection.
+func TestLeavingWhileLoaded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var served atomic.Int64
+		r := newRig(t, 3, 3, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			time.Sleep(100 * time.Millisecond)
+			served.Add(1)
+			w.Header().Set(header.RequestID, q.Header.Get(header.RequestID))
+		}))
+		defer r.stop()
+		errs := make(chan error, 5)
+		for range 5 {
+			go func() { errs <- r.ask(time.Second) }()
+		}
+		time.Sleep(50 * time.Millisecond) // two are in flight, three wait
+		r.SetLeaving(true)
+		kinds := make(map[string]int)
+		for range 5 {
+			kind, _ := kindOf(t, <-errs)
+			kinds[kind]++
+		}
+		require.Equal(t, map[string]int{failure.KindForbidden: 3, failure.KindIncomplete: 2}, kinds)
+		require.EqualValues(t, 2, served.Load())
+	})
+}
+
+// TestOrderOnSilentLink waits for its deadline: giving up early would make an order unknown that may still be answered.
+func TestOrderOnSilentLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 4, 4, newUpstream(25))
+		defer r.stop()
+		require.NoError(t, r.ask(time.Second))
+		r.listener.Conns()[0].Silence()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		failed := make(chan error, 1)
+		go func() {
+			_, _, err := r.Order(ctx, order.Request{RequestID: "o"})
+			failed <- err
+		}()
+		synctest.Wait()
+		for range 100 {
+			require.NoError(t, r.ask(time.Second))
+		}
+		kind, notRun := kindOf(t, <-failed)
+		require.Equal(t, failure.KindTimeout, kind)
+		require.False(t, notRun)
+		require.True(t, errors.Is(ctx.Err(), context.DeadlineExceeded))
+	})
+}
--- /dev/null
+++ b/internal/upstream/pool/pool.go
@@ -0,0 +1,376 @@
+// Package pool bounds the connections of one instance to one upstream.
+//
+// Every connection counts against the share from the start of its dial until the upstream has
+// closed its end, also while its address changes. One connection of the share is held back, so
+// that an abandoned one can be replaced while it still counts.
+package pool
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"crocuswing/internal/upstream/connection"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	idleTimeout = 90 * time.Second
+	maxWaiters  = 1024
+)
+
+// Dial opens a connection to an IP literal and a port.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// Pool hands out connections to one upstream, each to one request at a time. It is safe for concurrent use.
+type Pool struct {
+	dial Dial
+
+	mu         sync.Mutex
+	address    string
+	generation int // counts the changes of address
+	share      int
+	leaving    bool
+	leavingTil time.Time
+	closed     bool
+	opening    int
+	conns      map[*connection.Connection]*state
+	idle       []*connection.Connection // the most recently used is last
+	waiters    []chan grant
+	stats      Stats
+}
+
+// state is what the pool knows about one connection that still counts.
+type state struct {
+	generation int
+	busy       bool
+	abandoned  bool
+	idleSince  time.Time
+}
+
+// grant gives a waiter a connection or an error.
+type grant struct {
+	conn *connection.Connection
+	err  error
+}
+
+// New makes a pool of at most share connections, at least 1, to address.
+func New(address string, share int, dial Dial) *Pool {
+	return &Pool{
+		dial:    dial,
+		address: address,
+		share:   max(1, share),
+		conns:   make(map[*connection.Connection]*state),
+	}
+}
+
+// Acquire gives an idle connection, else waits for one or for a fresh one until ctx ends.
+// Each success needs one Release or Abandon. It fails with *DialError, *ExhaustedError,
+// *LeavingError, ErrClosed, ErrBusy or the error of ctx; no byte was sent then.
+func (p *Pool) Acquire(ctx context.Context) (*connection.Connection, error) {
+	c, granted, err := p.request()
+	if c != nil || err != nil {
+		return c, err
+	}
+	select {
+	case g := <-granted:
+		return g.conn, g.err
+	case <-ctx.Done():
+		p.withdraw(granted)
+		return nil, ctx.Err()
+	}
+}
+
+// request takes an idle connection or joins the waiters.
+func (p *Pool) request() (*connection.Connection, chan grant, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isLeaving() {
+		return nil, nil, &LeavingError{Address: p.address}
+	}
+	if c := p.takeIdle(); c != nil {
+		p.stats.Reused++
+		return c, nil, nil
+	}
+	if len(p.waiters) >= maxWaiters {
+		return nil, nil, ErrBusy
+	}
+	granted := make(chan grant, 1)
+	p.waiters = append(p.waiters, granted)
+	p.fill()
+	return nil, granted, nil
+}
+
+// Release gives a connection back; one that is not healthy is closed.
+func (p *Pool) Release(c *connection.Connection, healthy bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.conns[c]
+	if !ok {
+		return // the upstream has closed it already
+	}
+	s.busy = false
+	if healthy && s.generation == p.generation && !p.closed && len(p.conns) <= p.share && !c.IsClosed() {
+		s.idleSince = time.Now()
+		p.idle = append(p.idle, c)
+	} else {
+		c.Close()
+	}
+	p.closeExpired()
+	p.fill()
+}
+
+// Abandon closes a connection in use that has gone silent. It counts until the upstream confirms
+// the close, at most connection.LingerTime; the one held back may be opened meanwhile.
+func (p *Pool) Abandon(c *connection.Connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.conns[c]; ok && !s.abandoned {
+		s.abandoned = true
+		p.stats.Abandoned++
+	}
+	c.Close()
+	p.fill()
+}
+
+// SetShare changes the share; idle connections above it are closed now, busy ones when they are released.
+func (p *Pool) SetShare(share int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.share = max(1, share)
+	for len(p.idle) > 0 && p.counted() > p.share {
+		p.closeOldest()
+	}
+	p.fill()
+}
+
+// Move changes the address. Requests in flight finish on the connections to the former one,
+// which count until they are closed.
+func (p *Pool) Move(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.address == address {
+		return
+	}
+	p.address = address
+	p.generation++
+	p.closeIdle()
+	p.fill()
+}
+
+// SetLeaving refuses every Acquire while the list or the configuration forbids new work.
+func (p *Pool) SetLeaving(leaving bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving = leaving
+	p.fill()
+}
+
+// LeaveUntil refuses every Acquire until t, after an answer announced that the upstream leaves.
+func (p *Pool) LeaveUntil(t time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t.After(p.leavingTil) {
+		p.leavingTil = t
+	}
+	p.fill()
+}
+
+// Close closes the idle connections; those in use finish their request.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.closeIdle()
+	p.fill()
+}
+
+// Address is the present address.
+func (p *Pool) Address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.address
+}
+
+// Stats gives the counts so far.
+func (p *Pool) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stats
+	s.Counted = p.counted()
+	s.Idle = len(p.idle)
+	for _, state := range p.conns {
+		if state.abandoned {
+			s.AbandonedNow++
+		}
+	}
+	return s
+}
+
+// counted is the number of connections that the upstream may count.
+func (p *Pool) counted() int { return len(p.conns) + p.opening }
+
+// mayOpen holds one connection of the share back until another one is closing.
+func (p *Pool) mayOpen() bool {
+	if p.closed || p.isLeaving() {
+		return false
+	}
+	most := p.share
+	if p.share > 1 && !p.isClosing() {
+		most--
+	}
+	return p.counted() < most
+}
+
+func (p *Pool) isLeaving() bool { return p.leaving || time.Now().Before(p.leavingTil) }
+
+func (p *Pool) isClosing() bool {
+	for c := range p.conns {
+		if c.IsClosed() {
+			return true
+		}
+	}
+	return false
+}
+
+// takeIdle gives the most recently used idle connection that is still open.
+func (p *Pool) takeIdle() *connection.Connection {
+	for len(p.idle) > 0 && !p.closed {
+		last := len(p.idle) - 1
+		c := p.idle[last]
+		p.idle = p.idle[:last]
+		if s, ok := p.conns[c]; ok && !c.IsClosed() {
+			s.busy = true
+			return c
+		}
+	}
+	return nil
+}
+
+// fill serves waiters from the idle connections, opens fresh ones for the others, and refuses
+// them if none can come.
+func (p *Pool) fill() {
+	for len(p.waiters) > 0 {
+		c := p.takeIdle()
+		if c == nil {
+			break
+		}
+		p.answer(grant{conn: c})
+	}
+	for p.opening < len(p.waiters) && p.mayOpen() {
+		p.opening++
+		go p.open(p.address, p.generation)
+	}
+	if err := p.hopeless(); err != nil {
+		for len(p.waiters) > 0 {
+			p.answer(grant{err: err})
+		}
+	}
+}
+
+// hopeless tells why no connection can come soon, or gives nil if one can.
+func (p *Pool) hopeless() error {
+	if p.closed {
+		return ErrClosed
+	}
+	if p.isLeaving() {
+		return &LeavingError{Address: p.address}
+	}
+	if p.opening > 0 {
+		return nil
+	}
+	abandoned := 0
+	for _, s := range p.conns {
+		if s.busy && !s.abandoned {
+			return nil
+		}
+		if s.abandoned {
+			abandoned++
+		}
+	}
+	if abandoned == len(p.conns) && !p.mayOpen() {
+		return &ExhaustedError{Share: p.share, Abandoned: abandoned}
+	}
+	return nil
+}
+
+func (p *Pool) answer(g grant) {
+	p.waiters[0] <- g
+	p.waiters = p.waiters[1:]
+}
+
+// open dials and hands the connection to the first waiter.
+func (p *Pool) open(address string, generation int) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	start := time.Now()
+	raw, err := p.dial(ctx, address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opening--
+	if err != nil {
+		p.stats.DialFailures++
+		if len(p.waiters) > 0 && generation == p.generation {
+			p.answer(grant{err: &DialError{Address: address, Err: err}})
+		}
+		p.fill()
+		return
+	}
+	p.stats.Opened++
+	p.stats.OpenTime += time.Since(start)
+	p.add(raw, generation)
+	p.fill()
+}
+
+func (p *Pool) add(raw net.Conn, generation int) {
+	var c *connection.Connection
+	c = connection.New(raw, func() { p.forget(c) })
+	p.conns[c] = &state{generation: generation, idleSince: time.Now()}
+	if p.closed || p.isLeaving() || generation != p.generation {
+		c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// forget stops to count a connection that the upstream has closed too.
+func (p *Pool) forget(c *connection.Connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+	p.idle = slices.DeleteFunc(p.idle, func(other *connection.Connection) bool { return other == c })
+	p.fill()
+}
+
+// withdraw removes a waiter, or gives back the connection that it was granted meanwhile.
+func (p *Pool) withdraw(granted chan grant) {
+	p.mu.Lock()
+	p.waiters = slices.DeleteFunc(p.waiters, func(w chan grant) bool { return w == granted })
+	p.mu.Unlock()
+	select {
+	case g := <-granted:
+		if g.conn != nil {
+			p.Release(g.conn, true)
+		}
+	default:
+	}
+}
+
+func (p *Pool) closeExpired() {
+	for len(p.idle) > 0 && time.Since(p.conns[p.idle[0]].idleSince) > idleTimeout {
+		p.closeOldest()
+	}
+}
+
+func (p *Pool) closeOldest() {
+	p.idle[0].Close()
+	p.idle = p.idle[1:]
+}
+
+func (p *Pool) closeIdle() {
+	for len(p.idle) > 0 {
+		p.closeOldest()
+	}
+}
--- /dev/null
+++ b/internal/upstream/pool/pool_test.go
@@ -0,0 +1,146 @@
+package pool
+
+import (
+	"context"
+	"flag"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"crocuswing/internal/standin/network"
+	"crocuswing/internal/upstream/connection"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const (
+	here  = "10.0.0.1:80"
+	there = "10.0.0.2:80"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// TestNeverAboveShare runs random operations, in any order, and compares the pool's count with that
+// of an upstream which counts a connection until it has seen its end. The struct hides
+// Deadline, which synctest forbids.
+func TestNeverAboveShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(struct{ testing.TB }{t}, func(t *rapid.T) {
+			const most = 6
+			m := newModel(t, most)
+			t.Repeat(map[string]func(*rapid.T){
+				"acquire": m.acquire,
+				"release": func(t *rapid.T) {
+					if c := m.take(t); c != nil {
+						m.pool.Release(c, rapid.Bool().Draw(t, "healthy"))
+					}
+				},
+				"abandon": m.abandon,
+				"move":    func(t *rapid.T) { m.pool.Move(rapid.SampledFrom([]string{here, there}).Draw(t, "address")) },
+				"share":   func(t *rapid.T) { m.pool.SetShare(rapid.IntRange(1, most).Draw(t, "share")) },
+				"leave":   func(t *rapid.T) { m.pool.SetLeaving(rapid.Bool().Draw(t, "leaving")) },
+				"wait":    func(t *rapid.T) { time.Sleep(time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds")) * time.Second) },
+				"":        m.check,
+			})
+			m.stop()
+		})
+	})
+}
+
+type model struct {
+	most      int
+	pool      *Pool
+	listeners []*network.Listener
+	held      []*connection.Connection
+}
+
+func newModel(t *rapid.T, most int) *model {
+	net := network.New(time.Millisecond)
+	m := &model{most: most, pool: New(here, rapid.IntRange(1, most).Draw(t, "share"), net.Dial)}
+	for _, address := range []string{here, there} {
+		l := net.Listen(address, most)
+		m.listeners = append(m.listeners, l)
+		go serve(l)
+	}
+	return m
+}
+
+// serve closes each connection when its dialer has closed it, as an upstream does.
+func serve(l *network.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			_, _ = conn.Read(make([]byte, 1))
+			_ = conn.Close()
+		}()
+	}
+}
+
+func (m *model) acquire(*rapid.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	if c, err := m.pool.Acquire(ctx); err == nil {
+		m.held = append(m.held, c)
+	}
+}
+
+func (m *model) take(t *rapid.T) *connection.Connection {
+	if len(m.held) == 0 {
+		return nil
+	}
+	n := rapid.IntRange(0, len(m.held)-1).Draw(t, "held")
+	c := m.held[n]
+	m.held = append(m.held[:n], m.held[n+1:]...)
+	return c
+}
+
+// abandon may meet a connection that really is silent: the upstream keeps counting it.
+func (m *model) abandon(t *rapid.T) {
+	c := m.take(t)
+	if c == nil {
+		return
+	}
+	if rapid.Bool().Draw(t, "silent") {
+		l := rapid.SampledFrom(m.listeners).Draw(t, "listener")
+		if conns := l.Conns(); len(conns) > 0 {
+			conns[len(conns)-1].Silence()
+		}
+	}
+	m.pool.Abandon(c)
+	m.pool.Release(c, false)
+}
+
+func (m *model) check(t *rapid.T) {
+	synctest.Wait()
+	s := m.pool.Stats()
+	require.LessOrEqual(t, s.Counted, m.most)
+	require.LessOrEqual(t, s.Idle+len(m.held), s.Counted)
+	for _, l := range m.listeners {
+		require.Zero(t, l.Refused())
+	}
+}
+
+func (m *model) stop() {
+	for _, c := range m.held {
+		m.pool.Release(c, false)
+	}
+	m.pool.Close()
+	for _, l := range m.listeners {
+		_ = l.Close()
+		for _, c := range l.Conns() {
+			_ = c.Close()
+		}
+	}
+	time.Sleep(2 * connection.LingerTime)
+}
--- /dev/null
+++ b/internal/upstream/silence/silence_test.go
@@ -0,0 +1,62 @@
+package silence
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestSilence(t *testing.T) {
+	const service = 10 * time.Millisecond
+	for _, c := range []struct {
+		name     string
+		later    int // attempts begun later and answered, one each service time
+		received int64
+		want     bool
+	}{
+		{name: "others move on", later: 40, want: true},
+		{name: "bytes arrive slowly", later: 40, received: 1},
+		{name: "few others answered", later: minPassed - 1},
+		{name: "nothing else runs", later: 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := New()
+				for range 100 { // learn the usual service time
+					a := m.Begin(none, nil)
+					time.Sleep(service)
+					a.End(true)
+				}
+				abandoned := false
+				suspect := m.Begin(func() int64 { return c.received }, func() { abandoned = true })
+				for range c.later {
+					a := m.Begin(none, nil)
+					time.Sleep(service)
+					a.End(true)
+				}
+				time.Sleep(time.Second)
+				synctest.Wait()
+				require.Equal(t, c.want, abandoned)
+				require.Equal(t, c.want, suspect.End(false))
+			})
+		})
+	}
+}
+
+// TestBoundFollowsServiceTimes keeps a slow service's attempts from being abandoned.
+func TestBoundFollowsServiceTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := New()
+		require.Equal(t, minAge, m.Bound())
+		for range 200 {
+			a := m.Begin(none, nil)
+			time.Sleep(100 * time.Millisecond)
+			a.End(true)
+		}
+		require.InDelta(t, ageFactor*100*time.Millisecond, m.Bound(), float64(5*time.Millisecond))
+	})
+}
+
+func none() int64 { return 0 }
