feat: batched frames with credit and heartbeat between instances

Cause: one frame and one write carried each message; nothing bounded the calls that a peer could send; a silent peer held its calls to their deadlines; a dial held the lock of all callers; a canceled call ran on at the peer; a planned stop told nobody.

Change: protocol version 2 with a handshake, frames of many messages, credit in units of 1 KiB, cancellation, heartbeat while calls are in flight, the announcement of a stop, a shared dial with back-off and jitter, and calls that were not yet written fail with a proof that they did not run.

A silent peer fails its calls within 2 to 3 s in place of their deadline of 10 s (synctest).

--- a/internal/peer/client/client.go
+++ b/internal/peer/client/client.go
@@ -1,86 +1,116 @@
-// Package client calls other instances over one connection each.
+// Package client calls another instance over one connection that all calls share.
 package client
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 
+	"crocuswing/internal/network/socket"
 	"crocuswing/internal/peer/frame"
+	"crocuswing/internal/peer/handshake"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
 
 const (
-	dialTimeout = time.Second
-	keepAlive   = 5 * time.Second
-	queueLength = 256
+	dialTimeout  = time.Second // the handshake included
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = 2 * time.Second
 )
 
-// Client calls one peer at a time per call; calls share the connection. It is safe for concurrent use.
+// Dial opens a connection to an IP literal and a port.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// Client calls one peer. It is safe for concurrent use.
 type Client struct {
 	address  string
 	revision func() uint64
 	heard    func(revision uint64)
-
-	mu     sync.Mutex
-	conn   *connection
-	closed bool
+	dial     Dial
+
+	mu       sync.Mutex
+	conn     *connection
+	dialing  *dialing
+	failures int // dials that failed since the last success
+	retryAt  time.Time
+	lastErr  error
+	closed   bool
 }
 
-// UnsentError tells that no byte of a call was sent.
-type UnsentError struct{ Err error }
-
-// Error gives the cause.
-func (e *UnsentError) Error() string { return fmt.Sprintf("call was not sent: %v", e.Err) }
-
-// Unwrap gives the cause.
-func (e *UnsentError) Unwrap() error { return e.Err }
-
-// RefusedError tells that the peer refused a call and ran nothing of it.
-type RefusedError struct{ Reason string }
+// dialing is a dial that all calls wait for. conn and err are set when done is closed.
+type dialing struct {
+	done chan struct{}
+	conn *connection
+	err  error
+}
 
-// Error gives the peer's reason.
-func (e *RefusedError) Error() string { return "peer refused the call: " + e.Reason }
+// Option changes how a client is made.
+type Option func(*Client)
 
-var errClosed = errors.New("connection is closed")
+// WithDial opens connections by dial in place of TCP.
+func WithDial(dial Dial) Option {
+	return func(c *Client) { c.dial = dial }
+}
 
 // New makes a client for the peer at address. revision gives the revision that frames carry,
 // heard is told the revision of each frame that arrives.
-func New(address string, revision func() uint64, heard func(uint64)) *Client {
-	return &Client{address: address, revision: revision, heard: heard}
+func New(address string, revision func() uint64, heard func(uint64), options ...Option) *Client {
+	c := &Client{address: address, revision: revision, heard: heard, dial: dialTCP}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return socket.Dialer(dialTimeout).DialContext(ctx, "tcp", address)
 }
 
 // Address is the peer's address.
 func (c *Client) Address() string { return c.address }
 
-// Call sends a request and decodes the reply. It fails with *UnsentError, *RefusedError,
-// or with another error after which the peer may have acted.
+// Call sends a request and decodes the reply. It fails with *UnsentError or *RefusedError, after
+// which the peer has run nothing of it, or with *LostError, the error of ctx or that of decoding,
+// after which the peer may have acted.
 func (c *Client) Call(ctx context.Context, method string, request, reply any) error {
 	body, err := msgpack.Marshal(request)
 	if err != nil {
 		return &UnsentError{Err: err}
 	}
-	conn, err := c.connect(ctx)
-	if err != nil {
-		return &UnsentError{Err: err}
-	}
-	f := frame.Frame{Kind: frame.KindCall, Revision: c.revision(), Method: method, Body: body}
-	if deadline, ok := ctx.Deadline(); ok {
-		f.LeftMS = max(time.Until(deadline).Milliseconds(), 1)
+	m := frame.Message{Kind: frame.KindCall, Method: method, Body: body}
+	if len(body) > frame.MaxBody || len(method) > frame.MaxMethod {
+		return &UnsentError{Err: &frame.Error{Reason: "call is too long"}}
 	}
-	got, err := conn.call(ctx, f)
+	got, err := c.send(ctx, m)
 	if err != nil {
 		return err
 	}
-	if got.Kind == frame.KindError {
-		var reason string
-		_ = msgpack.Unmarshal(got.Body, &reason)
-		return &RefusedError{Reason: reason}
+	return decode(got, reply)
+}
+
+// send tries a second connection if the first one was closed before a byte of m was sent.
+func (c *Client) send(ctx context.Context, m frame.Message) (frame.Message, error) {
+	for again := true; ; again = false {
+		conn, err := c.connect(ctx)
+		if err != nil {
+			return frame.Message{}, &UnsentError{Err: err}
+		}
+		got, err := conn.call(ctx, m)
+		var unsent *UnsentError
+		if again && errors.As(err, &unsent) && conn.isClosed() && ctx.Err() == nil {
+			continue
+		}
+		return got, err
+	}
+}
+
+func decode(got frame.Message, reply any) error {
+	if got.Kind == frame.KindRefusal {
+		return &RefusedError{Reason: string(got.Body), Leaving: got.Value == frame.CodeLeaving}
 	}
 	return msgpack.Unmarshal(got.Body, reply)
 }
@@ -91,149 +121,86 @@
 	defer c.mu.Unlock()
 	c.closed = true
 	if c.conn != nil {
-		c.conn.close()
+		c.conn.close(ErrClosed)
 	}
 }
 
+// connect gives the open connection, or waits until ctx ends for the dial that all calls share.
 func (c *Client) connect(ctx context.Context) (*connection, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return nil, errClosed
-	}
-	if c.conn != nil && !c.conn.isClosed() {
-		return c.conn, nil
-	}
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
-	raw, err := dialer.DialContext(ctx, "tcp", c.address)
-	if err != nil {
-		return nil, err
-	}
-	c.conn = newConnection(raw, c.heard)
-	return c.conn, nil
-}
-
-// connection is one open connection with the calls that wait on it.
-type connection struct {
-	raw    net.Conn
-	out    chan frame.Frame
-	done   chan struct{}
-	heard  func(uint64)
-	mu     sync.Mutex
-	next   uint64
-	waits  map[uint64]chan frame.Frame
-	closed bool
-}
-
-func newConnection(raw net.Conn, heard func(uint64)) *connection {
-	conn := &connection{
-		raw:   raw,
-		out:   make(chan frame.Frame, queueLength),
-		done:  make(chan struct{}),
-		heard: heard,
-		waits: make(map[uint64]chan frame.Frame),
-	}
-	go conn.write()
-	go conn.read()
-	return conn
-}
-
-func (c *connection) call(ctx context.Context, f frame.Frame) (frame.Frame, error) {
-	reply := make(chan frame.Frame, 1)
-	id, ok := c.register(reply)
-	if !ok {
-		return frame.Frame{}, &UnsentError{Err: errClosed}
-	}
-	defer c.forget(id)
-	f.ID = id
-	select {
-	case c.out <- f:
-	case <-c.done:
-		return frame.Frame{}, &UnsentError{Err: errClosed}
-	case <-ctx.Done():
-		return frame.Frame{}, &UnsentError{Err: ctx.Err()}
+	d, conn, err := c.start()
+	if d == nil {
+		return conn, err
 	}
 	select {
-	case got := <-reply:
-		return got, nil
-	case <-c.done:
-		return frame.Frame{}, errClosed
+	case <-d.done:
+		return d.conn, d.err
 	case <-ctx.Done():
-		return frame.Frame{}, ctx.Err()
+		return nil, ctx.Err()
 	}
 }
 
-func (c *connection) register(reply chan frame.Frame) (uint64, bool) {
+// start gives the open connection, or the dial under way, which it begins if there is none.
+func (c *Client) start() (*dialing, *connection, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
-		return 0, false
-	}
-	c.next++
-	c.waits[c.next] = reply
-	return c.next, true
+	switch {
+	case c.closed:
+		return nil, nil, ErrClosed
+	case c.conn != nil && !c.conn.isClosed():
+		return nil, c.conn, nil
+	case c.dialing != nil:
+		return c.dialing, nil, nil
+	case time.Now().Before(c.retryAt):
+		return nil, nil, &BackoffError{Until: c.retryAt, Err: c.lastErr}
+	}
+	c.dialing = &dialing{done: make(chan struct{})}
+	go c.open(c.dialing)
+	return c.dialing, nil, nil
 }
 
-func (c *connection) forget(id uint64) {
+func (c *Client) open(d *dialing) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	raw, err := c.agree(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.waits, id)
-}
-
-func (c *connection) write() {
-	defer c.close()
-	w := bufio.NewWriter(c.raw)
-	for {
-		select {
-		case f := <-c.out:
-			if frame.Write(w, f) != nil {
-				return
-			}
-			if len(c.out) == 0 && w.Flush() != nil {
-				return
-			}
-		case <-c.done:
-			return
-		}
+	defer close(d.done)
+	c.dialing = nil
+	if err != nil {
+		c.failed(err)
+		d.err = err
+		return
 	}
-}
-
-func (c *connection) read() {
-	defer c.close()
-	r := bufio.NewReader(c.raw)
-	for {
-		f, err := frame.Read(r)
-		if err != nil {
-			return
-		}
-		c.heard(f.Revision)
-		c.deliver(f)
+	if c.closed {
+		_ = raw.Close()
+		d.err = ErrClosed
+		return
 	}
+	c.failures = 0
+	c.conn = newConnection(raw, c.revision, c.heard)
+	d.conn = c.conn
 }
 
-// deliver hands a reply to its call; a late one has none and is dropped.
-func (c *connection) deliver(f frame.Frame) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if reply, ok := c.waits[f.ID]; ok {
-		reply <- f
-		delete(c.waits, f.ID)
+func (c *Client) agree(ctx context.Context) (net.Conn, error) {
+	raw, err := c.dial(ctx, c.address)
+	if err != nil {
+		return nil, err
 	}
-}
-
-func (c *connection) close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = raw.SetDeadline(deadline)
 	}
-	c.closed = true
-	close(c.done)
-	_ = c.raw.Close()
+	if _, err := handshake.Dial(raw); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return raw, raw.SetDeadline(time.Time{})
 }
 
-func (c *connection) isClosed() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closed
+// failed doubles the wait before the next dial, with jitter of a half.
+func (c *Client) failed(err error) {
+	wait := min(maxBackoff, firstBackoff<<min(c.failures, 10))
+	wait = wait/2 + rand.N(wait/2)
+	c.failures++
+	c.lastErr = err
+	c.retryAt = time.Now().Add(wait)
 }
--- a/internal/peer/frame/frame.go
+++ b/internal/peer/frame/frame.go
@@ -1,80 +1,83 @@
-// Package frame encodes the messages between instances: a length, a version and a msgpack body.
+// Package frame encodes the messages between instances in batches: a length, a version and a
+// msgpack body that holds the sender's revision and the messages.
 package frame
 
-import (
-	"encoding/binary"
-	"fmt"
-	"io"
+import "fmt"
 
-	"github.com/vmihailenco/msgpack/v5"
+// Bounds of the protocol.
+const (
+	// Version is that of the frames which this package reads and writes.
+	Version = 2
+	// MaxBytes is the longest body of a frame.
+	MaxBytes = 2 << 20
+	// MaxBody is the longest body of a message.
+	MaxBody = 1 << 20
+	// MaxMethod is the longest name of a method.
+	MaxMethod = 64
+	// MaxMessages is the highest number of messages in a frame.
+	MaxMessages = 1024
+	// CreditBytes is the length of body that one unit of credit pays for; each call pays one unit more.
+	CreditBytes = 1024
 )
 
+const prefixBytes = 5 // length of the body as a big-endian uint32, then the version
+
+// Kinds of message.
 const (
-	version     = 1
-	prefixBytes = 5 // length of the body as a big-endian uint32, then the version
-	// MaxBytes is the longest body of a frame.
-	MaxBytes = 4 << 20
+	KindCall    = 1 // asks for an answer under the same ID; Value is the time left in microseconds
+	KindReply   = 2 // answers the call with the same ID and returns its credit
+	KindRefusal = 3 // tells that nothing of the call ran and returns its credit; Value is a code, Body the reason
+	KindCancel  = 4 // withdraws the call with the same ID, which is answered nevertheless
+	KindCredit  = 5 // grants Value units of credit
+	KindPing    = 6 // asks for a pong
+	KindPong    = 7 // answers a ping
+	KindLeaving = 8 // announces that further calls will be refused
+	lastKind    = KindLeaving
 )
 
-// Kinds of frame.
+// Codes of a refusal.
 const (
-	KindCall  = 1 // asks for an answer under the same ID
-	KindReply = 2 // answers the call with the same ID
-	KindError = 3 // answers the call with the same ID: it was refused and nothing of it ran
+	CodeMethod   = 1 // the method refused the call
+	CodeNoMethod = 2 // there is no such method
+	CodeLeaving  = 3 // the instance stops
 )
 
-// Frame is one message between instances. Every frame carries its sender's revision.
+// Frame is a batch of messages. Every frame carries its sender's configuration revision.
 type Frame struct {
-	Kind     uint8              `msgpack:"k"`
-	ID       uint64             `msgpack:"i"`
-	Revision uint64             `msgpack:"v"`
-	LeftMS   int64              `msgpack:"l"` // time left for the call, in milliseconds
-	Method   string             `msgpack:"m"`
-	Body     msgpack.RawMessage `msgpack:"b"`
+	Revision uint64
+	Messages []Message
 }
 
+// Message is one message between instances; the kind tells which fields count.
+type Message struct {
+	Kind   uint8
+	ID     uint64
+	Value  int64
+	Method string
+	Body   []byte
+}
+
+// Units is the credit that the message costs if it is a call.
+func (m Message) Units() int64 { return 1 + int64(len(m.Body))/CreditBytes }
+
 // Error tells why a byte stream is not a frame; the connection cannot be used any more.
 type Error struct{ Reason string }
 
 // Error gives the reason.
 func (e *Error) Error() string { return "frame: " + e.Reason }
 
-// Read decodes the next frame. It fails with *Error, io.EOF or the reader's error.
-func Read(r io.Reader) (Frame, error) {
-	var prefix [prefixBytes]byte
-	if _, err := io.ReadFull(r, prefix[:]); err != nil {
-		return Frame{}, err
-	}
-	n := binary.BigEndian.Uint32(prefix[:4])
-	if prefix[4] != version {
-		return Frame{}, &Error{Reason: fmt.Sprintf("version is %d, want %d", prefix[4], version)}
-	}
-	if n == 0 || n > MaxBytes {
-		return Frame{}, &Error{Reason: fmt.Sprintf("length is %d, want 1 to %d", n, MaxBytes)}
-	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return Frame{}, &Error{Reason: "is truncated: " + err.Error()}
-	}
-	var f Frame
-	if err := msgpack.Unmarshal(body, &f); err != nil {
-		return Frame{}, &Error{Reason: "is malformed: " + err.Error()}
-	}
-	return f, nil
-}
+func errorf(format string, args ...any) error { return &Error{Reason: fmt.Sprintf(format, args...)} }
 
-// Write encodes one frame. It fails with *Error if the frame is too long, else with the writer's error.
-func Write(w io.Writer, f Frame) error {
-	body, err := msgpack.Marshal(&f)
-	if err != nil {
-		return &Error{Reason: err.Error()}
-	}
-	if len(body) > MaxBytes {
-		return &Error{Reason: fmt.Sprintf("length is %d, want at most %d", len(body), MaxBytes)}
+func (m Message) check() error {
+	switch {
+	case m.Kind == 0 || m.Kind > lastKind:
+		return errorf("kind is %d, want 1 to %d", m.Kind, lastKind)
+	case len(m.Method) > MaxMethod:
+		return errorf("method has %d bytes, want at most %d", len(m.Method), MaxMethod)
+	case len(m.Body) > MaxBody:
+		return errorf("body has %d bytes, want at most %d", len(m.Body), MaxBody)
+	case m.Value < 0:
+		return errorf("value is %d, want at least 0", m.Value)
 	}
-	message := make([]byte, prefixBytes, prefixBytes+len(body))
-	binary.BigEndian.PutUint32(message, uint32(len(body)))
-	message[4] = version
-	_, err = w.Write(append(message, body...))
-	return err
+	return nil
 }
--- a/internal/peer/server/server.go
+++ b/internal/peer/server/server.go
@@ -2,22 +2,24 @@
 package server
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
 	"sync"
 	"time"
 
-	"crocuswing/internal/peer/frame"
-
-	"github.com/vmihailenco/msgpack/v5"
+	"crocuswing/internal/network/socket"
+	"crocuswing/internal/peer/handshake"
 )
 
 const (
-	queueLength  = 256
-	maxCalls     = 1024 // calls in flight per connection
-	defaultLimit = 10 * time.Second
+	maxConnections   = 4096
+	minWindow        = 16        // units of credit for every connection
+	maxWindow        = 4096      // units for one connection
+	surplusShare     = 16        // a connection gets at most this part of what is left
+	totalCredit      = 128 << 10 // units for all connections, about 128 MiB
+	handshakeTimeout = time.Second
+	leaveGrace       = time.Second // for peers to close after the last reply
 )
 
 // Method answers one kind of call; body is its msgpack message. An error refuses the call:
@@ -29,18 +31,47 @@
 	methods  map[string]Method
 	revision func() uint64
 	heard    func(revision uint64)
+	broken   func(peer string, err error)
+	limit    int
 
 	mu       sync.Mutex
 	listener net.Listener
-	conns    map[net.Conn]bool
+	sessions map[*session]struct{}
+	surplus  int64 // credit beyond the least window of each possible connection
 	calls    sync.WaitGroup
 	running  sync.WaitGroup
-	closed   bool
+	leaving  bool
+}
+
+// Option changes how a server is made.
+type Option func(*Server)
+
+// WithLimit sets the highest number of connections; further ones are refused.
+func WithLimit(connections int) Option {
+	return func(s *Server) { s.limit = connections }
 }
 
-// New makes a server. revision gives the revision that frames carry, heard is told that of each call.
-func New(methods map[string]Method, revision func() uint64, heard func(uint64)) *Server {
-	return &Server{methods: methods, revision: revision, heard: heard, conns: make(map[net.Conn]bool)}
+// WithBroken tells broken of each connection that ended by a fault, with *frame.Error or
+// *handshake.Error where the peer broke the protocol.
+func WithBroken(broken func(peer string, err error)) Option {
+	return func(s *Server) { s.broken = broken }
+}
+
+// New makes a server. revision gives the revision that frames carry, heard is told that of each frame.
+func New(methods map[string]Method, revision func() uint64, heard func(uint64), options ...Option) *Server {
+	s := &Server{
+		methods:  methods,
+		revision: revision,
+		heard:    heard,
+		broken:   func(string, error) {},
+		limit:    maxConnections,
+		sessions: make(map[*session]struct{}),
+	}
+	for _, o := range options {
+		o(s)
+	}
+	s.surplus = max(0, totalCredit-int64(s.limit)*minWindow)
+	return s
 }
 
 // Serve accepts connections until Shutdown.
@@ -49,162 +80,120 @@
 	s.listener = l
 	s.mu.Unlock()
 	for {
-		conn, err := l.Accept()
+		raw, err := l.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
 			return err
 		}
-		if !s.add(conn) {
-			_ = conn.Close()
-			return nil
+		if !s.start(raw) {
+			_ = raw.Close()
 		}
-		s.running.Go(func() { s.serve(conn) })
 	}
 }
 
-// Shutdown stops accepting, waits for the calls in flight until ctx ends and closes all connections.
+// Shutdown announces the stop to all peers, refuses further calls, lets those in flight finish and
+// be answered until ctx ends, and closes all connections.
 func (s *Server) Shutdown(ctx context.Context) {
+	s.leave()
+	if waitFor(ctx, &s.calls) {
+		grace, cancel := context.WithTimeout(ctx, leaveGrace)
+		defer cancel()
+		waitFor(grace, &s.running)
+	}
+	s.mu.Lock()
+	for c := range s.sessions {
+		c.close()
+	}
+	s.mu.Unlock()
+	s.running.Wait()
+}
+
+func (s *Server) leave() {
 	s.mu.Lock()
-	s.closed = true
+	defer s.mu.Unlock()
+	s.leaving = true
 	if s.listener != nil {
 		_ = s.listener.Close()
 	}
-	s.mu.Unlock()
+	for c := range s.sessions {
+		c.announceLeaving()
+	}
+}
+
+// waitFor reports whether group ended before ctx.
+func waitFor(ctx context.Context, group *sync.WaitGroup) bool {
 	finished := make(chan struct{})
 	go func() {
-		s.calls.Wait()
+		group.Wait()
 		close(finished)
 	}()
 	select {
 	case <-finished:
+		return true
 	case <-ctx.Done():
+		return false
 	}
-	s.closeAll()
-	s.running.Wait()
 }
 
-func (s *Server) add(conn net.Conn) bool {
+// start serves a new connection, unless the server stops.
+func (s *Server) start(raw net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
+	if s.leaving {
 		return false
 	}
-	s.conns[conn] = true
-	return true
-}
-
-func (s *Server) remove(conn net.Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, conn)
-	_ = conn.Close()
-}
-
-func (s *Server) closeAll() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for conn := range s.conns {
-		_ = conn.Close()
+	c := newSession(s, raw)
+	status := handshake.Accepted
+	if len(s.sessions) >= s.limit {
+		status = handshake.Full
+	} else {
+		c.window = s.window()
+		s.sessions[c] = struct{}{}
 	}
+	s.running.Go(func() { s.serve(c, status) })
+	return true
 }
 
-// serve reads calls from one connection; a malformed frame closes it.
-func (s *Server) serve(conn net.Conn) {
-	defer s.remove(conn)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	out := make(chan outgoing, queueLength)
-	go s.write(ctx, conn, out)
-	slots := make(chan struct{}, maxCalls)
-	r := bufio.NewReader(conn)
-	for {
-		f, err := frame.Read(r)
-		if err != nil {
-			return
-		}
-		s.heard(f.Revision)
-		slots <- struct{}{}
-		s.calls.Go(func() {
-			defer func() { <-slots }()
-			s.answer(ctx, f, out)
-		})
-	}
-}
-
-// outgoing is a reply on its way; written is closed when it has left the process.
-type outgoing struct {
-	frame.Frame
-	written chan struct{}
-}
-
-// answer returns when the reply is written, so that Shutdown cuts off none.
-func (s *Server) answer(ctx context.Context, f frame.Frame, out chan<- outgoing) {
-	limit := defaultLimit
-	if f.LeftMS > 0 {
-		limit = time.Duration(f.LeftMS) * time.Millisecond
-	}
-	callCtx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	reply := outgoing{written: make(chan struct{})}
-	reply.Frame = s.reply(callCtx, f)
-	select {
-	case out <- reply:
-	case <-ctx.Done():
-		return
-	}
-	select {
-	case <-reply.written:
-	case <-ctx.Done():
-	}
+// window shares the credit out: the first connections get more, every one its least.
+func (s *Server) window() int64 {
+	extra := min(s.surplus/surplusShare, maxWindow-minWindow)
+	s.surplus -= extra
+	return minWindow + extra
 }
 
-func (s *Server) reply(ctx context.Context, f frame.Frame) frame.Frame {
-	body, err := s.call(ctx, f)
+func (s *Server) serve(c *session, status handshake.Status) {
+	_ = socket.Tune(c.raw)
+	_ = c.raw.SetDeadline(time.Now().Add(handshakeTimeout))
+	_, err := handshake.Accept(c.raw, status)
 	if err == nil {
-		return frame.Frame{Kind: frame.KindReply, ID: f.ID, Revision: s.revision(), Body: body}
+		_ = c.raw.SetDeadline(time.Time{})
+		err = c.run()
+	}
+	c.close()
+	s.remove(c)
+	if err != nil {
+		s.broken(c.raw.RemoteAddr().String(), err)
 	}
-	reason, _ := msgpack.Marshal(err.Error())
-	return frame.Frame{Kind: frame.KindError, ID: f.ID, Revision: s.revision(), Body: reason}
 }
 
-func (s *Server) call(ctx context.Context, f frame.Frame) ([]byte, error) {
-	method, ok := s.methods[f.Method]
-	if !ok {
-		return nil, errors.New("there is no method " + f.Method)
-	}
-	value, err := method(ctx, f.Body)
-	if err != nil {
-		return nil, err
+func (s *Server) remove(c *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.sessions[c]; ok {
+		delete(s.sessions, c)
+		s.surplus += c.window - minWindow
 	}
-	return msgpack.Marshal(value)
 }
 
-// write sends replies in batches: it flushes when no further reply waits.
-func (s *Server) write(ctx context.Context, conn net.Conn, out <-chan outgoing) {
-	defer func() { _ = conn.Close() }()
-	w := bufio.NewWriter(conn)
-	var unflushed []outgoing
-	for {
-		select {
-		case reply := <-out:
-			unflushed = append(unflushed, reply)
-			if frame.Write(w, reply.Frame) != nil {
-				return
-			}
-			if len(out) > 0 {
-				continue
-			}
-			if w.Flush() != nil {
-				return
-			}
-			for _, r := range unflushed {
-				close(r.written)
-			}
-			unflushed = unflushed[:0]
-		case <-ctx.Done():
-			return
-		}
+// admit counts a call that Shutdown waits for, unless the server is leaving.
+func (s *Server) admit() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		return false
 	}
+	s.calls.Add(1)
+	return true
 }
