fix: a connection that the upstream ended makes its warmth doubtful at once

Cause: a home with recent evidence went on sending up to its share to a process that had just been replaced, until an answer named another incarnation. Change: the link tells when the upstream ends a connection, idle or in use, and the target then asks for one success through the first home before it is warm. Ruled out: waiting for resets of requests in flight only; an idle home has none.

--- a/internal/upstream/connection/connection.go
+++ b/internal/upstream/connection/connection.go
@@ -22,9 +22,10 @@
 }
 
 // New takes over raw. gone is called once, when the upstream no longer counts the connection:
-// it closed its own end, or LingerTime has passed.
-func New(raw net.Conn, gone func()) *Connection {
-	c := &Connection{stream: newStream(raw, gone)}
+// it closed its own end, or LingerTime has passed. lost is called at once if the upstream ends the
+// connection first, in use or idle.
+func New(raw net.Conn, gone, lost func()) *Connection {
+	c := &Connection{stream: newStream(raw, gone, lost)}
 	first := make(chan *stream, 1)
 	first <- c.stream
 	c.transport = &http.Transport{
--- a/internal/upstream/connection/connection_test.go
+++ b/internal/upstream/connection/connection_test.go
@@ -25,7 +25,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				near, far := net.Pipe()
 				defer far.Close()
-				s := newStream(near, func() {})
+				s := newStream(near, func() {}, func() {})
 				s.mark()
 				go func() { _, _ = s.Write([]byte("request")) }()
 				_, err := far.Read(make([]byte, c.read))
@@ -60,7 +60,7 @@
 				}
 				gone := make(chan time.Time, 1)
 				start := time.Now()
-				conn := New(near, func() { gone <- time.Now() })
+				conn := New(near, func() { gone <- time.Now() }, func() { t.Error("the close is not the upstream's") })
 				conn.Close()
 				require.True(t, conn.IsClosed())
 				time.Sleep(delay)
--- a/internal/upstream/connection/stream.go
+++ b/internal/upstream/connection/stream.go
@@ -26,6 +26,7 @@
 type stream struct {
 	net.Conn
 	gone func()
+	lost func()
 
 	mu       sync.Mutex
 	changed  sync.Cond
@@ -39,8 +40,8 @@
 	recvAt   int64 // value of received at the last mark
 }
 
-func newStream(raw net.Conn, gone func()) *stream {
-	s := &stream{Conn: raw, gone: gone}
+func newStream(raw net.Conn, gone, lost func()) *stream {
+	s := &stream{Conn: raw, gone: gone, lost: lost}
 	s.changed.L = &s.mu
 	return s
 }
@@ -75,6 +76,9 @@
 	n, err := s.Conn.Read(p)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err != nil && !s.closed && !s.sealed {
+		go s.lost()
+	}
 	s.reading = false
 	s.received += int64(n)
 	s.changed.Broadcast()
--- a/internal/upstream/directory/directory.go
+++ b/internal/upstream/directory/directory.go
@@ -32,8 +32,9 @@
 	Close()
 }
 
-// Opener makes the link to one upstream with at most the given number of connections.
-type Opener func(name, address string, connections int) Link
+// Opener makes the link to one upstream with at most the given number of connections. The link calls
+// lost each time the upstream ends a connection first.
+type Opener func(name, address string, connections int, lost func()) Link
 
 // Directory maps the names of upstreams to their running state. It is safe for concurrent use.
 type Directory struct {
@@ -73,8 +74,8 @@
 	return d
 }
 
-func openLink(name, address string, connections int) Link {
-	return link.New(name, address, connections)
+func openLink(name, address string, connections int, lost func()) Link {
+	return link.New(name, address, connections, link.WithLost(lost))
 }
 
 // Target finds the running state of an upstream.
@@ -213,7 +214,7 @@
 	case connections == 0:
 		next = nil
 	case old == nil:
-		next = d.open(e.Name(), e.address, connections)
+		next = d.open(e.Name(), e.address, connections, e.Doubt)
 	default:
 		old.SetShare(connections)
 	}
--- a/internal/upstream/dispatch/fleet_test.go
+++ b/internal/upstream/dispatch/fleet_test.go
@@ -165,7 +165,7 @@
 	return !f.isCut(a, b) && !f.nodes[b].gone.Load()
 }
 
-func (x *node) open(name, _ string, _ int) directory.Link {
+func (x *node) open(name, _ string, _ int, _ func()) directory.Link {
 	return gate{server: x.fleet.servers[name], node: x}
 }
 
--- a/internal/upstream/link/link.go
+++ b/internal/upstream/link/link.go
@@ -48,13 +48,21 @@
 // Option changes how a link is made.
 type Option func(*options)
 
-type options struct{ dial pool.Dial }
+type options struct {
+	dial pool.Dial
+	lost func()
+}
 
 // WithDial opens connections by dial in place of TCP.
 func WithDial(dial pool.Dial) Option {
 	return func(o *options) { o.dial = dial }
 }
 
+// WithLost calls lost each time the upstream ends a connection that this side had not closed.
+func WithLost(lost func()) Option {
+	return func(o *options) { o.lost = lost }
+}
+
 // Stats counts the connections of a link and the replies that belonged to other requests.
 type Stats struct {
 	pool.Stats
@@ -63,11 +71,11 @@
 
 // New makes a link with at most connections open connections to address, an IP literal and a port.
 func New(name, address string, connections int, with ...Option) *Link {
-	o := options{dial: dialTCP}
+	o := options{dial: dialTCP, lost: func() {}}
 	for _, set := range with {
 		set(&o)
 	}
-	return &Link{name: name, pool: pool.New(address, connections, o.dial), monitor: silence.New()}
+	return &Link{name: name, pool: pool.New(address, connections, o.dial, pool.WithLost(o.lost)), monitor: silence.New()}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/upstream/link/link_test.go
+++ b/internal/upstream/link/link_test.go
@@ -265,6 +265,24 @@
 	})
 }
 
+// TestLostConnection tells at once that the upstream ended an idle connection, and not that this side did.
+func TestLostConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 4, 4, newUpstream(25))
+		defer r.stop()
+		var lost atomic.Int64
+		r.Link = New("u", address, 4, WithDial(r.net.Dial), WithLost(func() { lost.Add(1) }))
+		require.NoError(t, r.ask(time.Second))
+		require.NoError(t, r.listener.Conns()[0].Close())
+		synctest.Wait()
+		require.EqualValues(t, 1, lost.Load())
+		require.NoError(t, r.ask(time.Second))
+		r.Close()
+		synctest.Wait()
+		require.EqualValues(t, 1, lost.Load())
+	})
+}
+
 // TestConnectionLimit loads a share with more requests than connections, through changes of address
 // and share, canceled requests and a silent link.
 func TestConnectionLimit(t *testing.T) {
--- a/internal/upstream/pool/pool.go
+++ b/internal/upstream/pool/pool.go
@@ -27,6 +27,7 @@
 // Pool hands out connections to one upstream, each to one request at a time. It is safe for concurrent use.
 type Pool struct {
 	dial Dial
+	lost func()
 
 	mu         sync.Mutex
 	address    string
@@ -56,14 +57,27 @@
 	err  error
 }
 
+// Option changes how a pool is made.
+type Option func(*Pool)
+
+// WithLost calls lost each time the upstream ends a connection that the pool had not closed.
+func WithLost(lost func()) Option {
+	return func(p *Pool) { p.lost = lost }
+}
+
 // New makes a pool of at most share connections, at least 1, to address.
-func New(address string, share int, dial Dial) *Pool {
-	return &Pool{
+func New(address string, share int, dial Dial, options ...Option) *Pool {
+	p := &Pool{
 		dial:    dial,
+		lost:    func() {},
 		address: address,
 		share:   max(1, share),
 		conns:   make(map[*connection.Connection]*state),
 	}
+	for _, o := range options {
+		o(p)
+	}
+	return p
 }
 
 // Acquire gives an idle connection, else waits for one or for a fresh one until ctx ends.
@@ -326,7 +340,7 @@
 
 func (p *Pool) add(raw net.Conn, generation int) {
 	var c *connection.Connection
-	c = connection.New(raw, func() { p.forget(c) })
+	c = connection.New(raw, func() { p.forget(c) }, p.lost)
 	p.conns[c] = &state{generation: generation, idleSince: time.Now()}
 	if p.closed || p.isLeaving() || generation != p.generation {
 		c.Close()
--- a/internal/upstream/target/slot.go
+++ b/internal/upstream/target/slot.go
@@ -153,6 +153,10 @@
 	t.settle(now)
 }
 
+// Doubt asks for new evidence that the upstream is warm: a connection that it ended may tell of a
+// restart, which all homes have to know before they send again.
+func (t *Target) Doubt() { t.Told("", false, true) }
+
 // Told records a notice of another home: the upstream leaves, or may be cold again.
 func (t *Target) Told(incarnation string, leaving, cold bool) {
 	t.mu.Lock()
