test: bounds of homes, warm-up, limit, queue and leaving

Tables for each decision, examples, the bounds of both shares while views differ, and random histories of a target against a naive model of the stated bounds (fixed seed, virtual time).

--- /dev/null
+++ b/internal/upstream/directory/directory_test.go
@@ -0,0 +1,210 @@
+package directory_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"crocuswing/internal/config/domain"
+	"crocuswing/internal/config/preset"
+	"crocuswing/internal/config/service"
+	"crocuswing/internal/config/set"
+	"crocuswing/internal/fleet/member"
+	"crocuswing/internal/fleet/roster"
+	"crocuswing/internal/fleet/view"
+	"crocuswing/internal/index/layout"
+	"crocuswing/internal/index/shard"
+	"crocuswing/internal/upstream/contract"
+	"crocuswing/internal/upstream/directory"
+
+	"github.com/stretchr/testify/require"
+)
+
+var bounds = contract.Contract{Slots: 2, Connections: 25, ColdSlots: 1, WarmAfter: 8}
+
+// fakeLink counts the connections that it may open.
+type fakeLink struct {
+	directory.Link
+	open *int
+	n    int
+}
+
+// Close gives the connections back.
+func (l fakeLink) Close() { *l.open -= l.n }
+
+// world is the list of one moment.
+type world struct {
+	instances []string
+	upstreams int
+	domains   int
+	out       string // a failure domain that is out
+	states    map[string]string
+}
+
+func (w world) place(n int) (failureDomain, region string) {
+	return fmt.Sprintf("domain-%d", n%w.domains), fmt.Sprintf("region-%d", n%max(1, w.domains/3))
+}
+
+func (w world) view(tb testing.TB) view.View {
+	members := make([]member.Member, 0, len(w.instances)+w.upstreams)
+	for n, name := range w.instances {
+		d, r := w.place(n)
+		members = append(members, member.Member{Name: name, Kind: member.KindInstance, FailureDomain: d, Region: r, State: member.StateLive})
+	}
+	sh := shard.Shard{Name: "shard"}
+	for n := range w.upstreams {
+		d, r := w.place(n)
+		name := fmt.Sprintf("upstream-%d", n)
+		sh.Replicas = append(sh.Replicas, name)
+		members = append(members, member.Member{Name: name, Kind: member.KindUpstream, FailureDomain: d, Region: r, Address: name, State: member.StateLive})
+	}
+	for n, m := range members {
+		if s, ok := w.states[m.Name]; ok {
+			members[n].State = s
+		}
+	}
+	return view.View{}.WithConfig(w.config(tb, sh)).WithRoster(roster.New(1, members)).WithConfirmed(time.Now())
+}
+
+func (w world) config(tb testing.TB, sh shard.Shard) set.Set {
+	s := service.Service{Name: "search", Kind: service.KindSearch, Contract: bounds}
+	s.Layouts = []layout.Layout{{Snapshot: "s1", Shards: []shard.Shard{sh}}}
+	values := map[string][]byte{"in-force": []byte(`{"preset": "ordinary"}`)}
+	put := func(name string, v any) {
+		text, err := json.Marshal(v)
+		require.NoError(tb, err)
+		values[name] = text
+	}
+	put("service/search", s)
+	put("preset/ordinary", preset.Preset{Name: "ordinary", DeadlineMS: 240, AnswerPolicy: preset.PolicyCoverage, HedgeQuantile: 0.95, HedgeShare: 0.05, RetryShare: 0.1})
+	if w.out != "" {
+		put("domain/"+w.out, domain.Domain{Name: w.out, Region: "region-0", Out: true})
+	}
+	parsed, err := set.Parse(1, values)
+	require.NoError(tb, err)
+	return parsed
+}
+
+// fleet is the directories of some instances before shared upstreams.
+type fleet struct {
+	directories map[string]*directory.Directory
+	open        map[string]*int // connections by upstream
+}
+
+func newFleet(instances ...string) *fleet {
+	f := &fleet{directories: make(map[string]*directory.Directory), open: make(map[string]*int)}
+	for _, name := range instances {
+		f.directories[name] = directory.New(name, directory.WithOpener(f.dial))
+	}
+	return f
+}
+
+func (f *fleet) dial(name, _ string, n int) directory.Link {
+	if f.open[name] == nil {
+		f.open[name] = new(int)
+	}
+	*f.open[name] += n
+	return fakeLink{open: f.open[name], n: n}
+}
+
+func names(from, to int) []string {
+	var all []string
+	for n := from; n < to; n++ {
+		all = append(all, fmt.Sprintf("instance-%d", n))
+	}
+	return all
+}
+
+// TestSharesStayWithinTheLimits states the bound of both shares for each way in which views differ.
+func TestSharesStayWithinTheLimits(t *testing.T) {
+	const upstreams = 20
+	for _, c := range []struct {
+		name  string
+		all   int
+		lists [][]string // each read by the instances that it names, in order
+		views int        // different lists that are in use at the end
+	}{
+		{"one view of 4", 4, [][]string{names(0, 4)}, 1},
+		{"one view of 100", 100, [][]string{names(0, 100)}, 1},
+		{"two parts of 4", 4, [][]string{names(0, 4), names(0, 2), names(2, 4)}, 2},
+		{"two parts of 100", 100, [][]string{names(0, 100), names(0, 60), names(60, 100)}, 2},
+		{"one of 4 replaced, list lags at the leaver", 5, [][]string{names(0, 4), names(1, 5)}, 2},
+		{"all of 4 replaced, list lags at the leavers", 8, [][]string{names(0, 4), names(4, 8)}, 2},
+		{"one of 100 started, list lags at all others", 101, [][]string{names(0, 100), {"instance-100"}}, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(names(0, c.all)...)
+			for _, list := range c.lists {
+				v := world{instances: list, upstreams: upstreams, domains: 3}.view(t)
+				for _, reader := range list {
+					f.directories[reader].Update(v)
+				}
+			}
+			for n := range upstreams {
+				name := fmt.Sprintf("upstream-%d", n)
+				slots, first := f.shares(name)
+				require.LessOrEqual(t, *f.open[name], bounds.Connections, "connections")
+				require.LessOrEqual(t, slots, c.views*max(bounds.Slots, bounds.HomeCount(c.all)), "slots")
+				require.GreaterOrEqual(t, first, 1)
+				require.LessOrEqual(t, first, c.views, "first homes")
+			}
+		})
+	}
+}
+
+// shares sums the slots of all homes of an upstream and counts its first homes.
+func (f *fleet) shares(upstream string) (slots, first int) {
+	for _, d := range f.directories {
+		t, ok := d.Target(upstream)
+		if ok && t.Role().IsHome {
+			slots += t.Role().Share
+		}
+		if ok && t.Role().IsFirst {
+			first++
+		}
+	}
+	return slots, first
+}
+
+func TestOnlyHomesKeepLinks(t *testing.T) {
+	f := newFleet(names(0, 100)...)
+	v := world{instances: names(0, 100), upstreams: 30, domains: 24}.view(t)
+	for _, d := range f.directories {
+		d.Update(v)
+		for _, x := range d.Targets() {
+			_, ok := d.Link(x.Name())
+			require.Equal(t, x.Role().IsHome, ok)
+		}
+	}
+}
+
+func TestInstancesThatLeaveOrAreOutAreNoHomes(t *testing.T) {
+	for name, w := range map[string]world{
+		"leaving": {instances: names(0, 4), upstreams: 10, domains: 4, states: map[string]string{"instance-1": member.StateLeaving}},
+		"out":     {instances: names(0, 4), upstreams: 10, domains: 4, out: "domain-1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet("instance-1")
+			d := f.directories["instance-1"]
+			d.Update(w.view(t))
+			for _, x := range d.Targets() {
+				require.False(t, x.Role().IsHome)
+				require.NotContains(t, x.Homes(d.Ranking()), "instance-1")
+			}
+		})
+	}
+}
+
+func TestUpdateFollowsTheList(t *testing.T) {
+	f := newFleet("instance-0")
+	d := f.directories["instance-0"]
+	d.Update(world{instances: names(0, 1), upstreams: 2, domains: 1}.view(t))
+	require.Len(t, d.Targets(), 2)
+	d.Update(world{instances: names(0, 1), upstreams: 2, domains: 1, states: map[string]string{"upstream-0": member.StateLeaving}}.view(t))
+	x, _ := d.Target("upstream-0")
+	require.False(t, x.IsOpen(time.Now()))
+	_, ok := d.Target("upstream-9")
+	require.False(t, ok)
+	require.Equal(t, bounds.ConnectionShare(1), *f.open["upstream-0"])
+}
--- /dev/null
+++ b/internal/upstream/home/home_test.go
@@ -0,0 +1,92 @@
+package home_test
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+
+	"crocuswing/internal/upstream/home"
+
+	"github.com/stretchr/testify/require"
+)
+
+func ExampleGroup_Homes() {
+	south := home.Place{FailureDomain: "south-a", Region: "south"}
+	north := home.Place{FailureDomain: "north-a", Region: "north"}
+	r := home.New([]home.Candidate{
+		{Name: "instance-0", Place: south},
+		{Name: "instance-1", Place: north},
+		{Name: "instance-2", Place: north},
+	})
+	fmt.Println(r.Group(south).Homes("stock-1", 2)[0])
+	// Output: instance-0
+}
+
+// candidates makes n instances, spread over 24 failure domains in 8 regions.
+func candidates(n int) []home.Candidate {
+	all := make([]home.Candidate, n)
+	for i := range all {
+		all[i] = home.Candidate{Name: fmt.Sprintf("instance-%d", i), Place: place(i)}
+	}
+	return all
+}
+
+func place(n int) home.Place {
+	return home.Place{FailureDomain: fmt.Sprintf("domain-%d", n%24), Region: fmt.Sprintf("region-%d", n%8)}
+}
+
+func TestHomesAgreeWithSorting(t *testing.T) {
+	for _, n := range []int{1, 4, 30, 600} {
+		all := candidates(n)
+		r := home.New(all)
+		for u := range 50 {
+			upstream, p := fmt.Sprintf("upstream-%d", u), place(u)
+			homes := r.Group(p).Homes(upstream, 4)
+			require.Len(t, homes, min(4, n))
+			require.Equal(t, homes, r.Group(p).Homes(upstream, 6)[:len(homes)], "a rank does not depend on the number asked for")
+			distances := make([]int, len(homes))
+			for i, name := range homes {
+				where, ok := r.PlaceOf(name)
+				require.True(t, ok)
+				distances[i] = p.Distance(where)
+			}
+			require.True(t, slices.IsSorted(distances), "nearer instances rank first")
+			slices.SortStableFunc(all, func(a, b home.Candidate) int { return cmp.Compare(p.Distance(a.Place), p.Distance(b.Place)) })
+			require.Equal(t, p.Distance(all[len(homes)-1].Place), distances[len(homes)-1], "no nearer instance is left out")
+		}
+	}
+}
+
+func TestChangeMovesOnlyWhatItMust(t *testing.T) {
+	all := candidates(600)
+	before := home.New(all)
+	after := before.Next(all[1:])
+	for u := range 500 {
+		upstream, p := fmt.Sprintf("upstream-%d", u), place(u)
+		old, now := before.Group(p).Homes(upstream, 4), after.Group(p).Homes(upstream, 4)
+		if !slices.Contains(old, all[0].Name) {
+			require.Equal(t, old, now)
+			continue
+		}
+		require.NotContains(t, now, all[0].Name)
+		kept := slices.DeleteFunc(slices.Clone(now), func(name string) bool { return !slices.Contains(old, name) })
+		require.Len(t, kept, 3)
+	}
+}
+
+func TestNextKeepsUnchangedGroups(t *testing.T) {
+	all := candidates(600)
+	before := home.New(all)
+	kept, changed := before.Group(place(1)), before.Group(place(0))
+	after := before.Next(all[1:])
+	require.Same(t, kept, after.Group(place(1)))
+	require.NotSame(t, changed, after.Group(place(0)))
+}
+
+func TestMayHold(t *testing.T) {
+	g := home.New(candidates(600)).Group(place(0))
+	require.True(t, g.MayHold("instance-24", 4))
+	require.False(t, g.MayHold("instance-1", 4))
+	require.True(t, home.New(candidates(4)).Group(place(0)).MayHold("instance-3", 4))
+}
--- /dev/null
+++ b/internal/upstream/queue/queue_test.go
@@ -0,0 +1,80 @@
+package queue_test
+
+import (
+	"testing"
+	"time"
+
+	"crocuswing/internal/upstream/queue"
+
+	"github.com/stretchr/testify/require"
+)
+
+const service = 10 * time.Millisecond
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestEnter(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		waiting int
+		left    time.Duration // until the deadline; 0 for none
+		load    queue.Load
+		refused bool
+	}{
+		{"empty", 0, 0, queue.Load{Limit: 1, Service: service}, false},
+		{"deadline can be met", 1, 3 * service, queue.Load{Limit: 1, Service: service}, false},
+		{"deadline cannot be met", 1, 3*service - 1, queue.Load{Limit: 1, Service: service}, true},
+		{"a greater limit shortens the wait", 3, 3 * service, queue.Load{Limit: 2, Service: service}, false},
+		{"wait is bounded", 25, 0, queue.Load{Limit: 1, Service: service}, true},
+		{"length is bounded while the service time is unknown", 32, 0, queue.Load{Limit: 1}, true},
+		{"no limit counts as one", 31, 0, queue.Load{}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var q queue.Queue
+			for range c.waiting {
+				_, err := q.Enter(start, time.Time{}, queue.Load{Limit: 100})
+				require.NoError(t, err)
+			}
+			var deadline time.Time
+			if c.left > 0 {
+				deadline = start.Add(c.left)
+			}
+			_, err := q.Enter(start, deadline, c.load)
+			var full *queue.Error
+			require.Equal(t, c.refused, err != nil)
+			if c.refused {
+				require.ErrorAs(t, err, &full)
+				require.Equal(t, c.waiting, full.Length)
+			}
+		})
+	}
+}
+
+func TestGrantInOrderAndInTime(t *testing.T) {
+	var q queue.Queue
+	var waiters []*queue.Waiter
+	for _, left := range []time.Duration{30 * time.Millisecond, time.Second, time.Second} {
+		w, err := q.Enter(start, start.Add(left), queue.Load{Limit: 1})
+		require.NoError(t, err)
+		waiters = append(waiters, w)
+	}
+	require.True(t, q.Grant(start.Add(40*time.Millisecond)), "as after a pause")
+	<-waiters[0].Ended()
+	<-waiters[1].Ended()
+	require.False(t, waiters[0].IsGranted(), "its deadline has passed")
+	require.True(t, waiters[1].IsGranted())
+	require.False(t, q.Leave(waiters[1]))
+	require.True(t, q.Leave(waiters[2]))
+	require.False(t, q.Grant(start))
+	require.Equal(t, start.Add(queue.MaxWait), waiters[2].Deadline(), "waiting is bounded in time")
+}
+
+func TestRefuse(t *testing.T) {
+	var q queue.Queue
+	w, err := q.Enter(start, time.Time{}, queue.Load{Limit: 1})
+	require.NoError(t, err)
+	q.Refuse()
+	<-w.Ended()
+	require.False(t, w.IsGranted())
+	require.Zero(t, q.Len())
+}
--- /dev/null
+++ b/internal/upstream/target/target_test.go
@@ -0,0 +1,169 @@
+package target_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"crocuswing/internal/upstream/contract"
+	"crocuswing/internal/upstream/failure"
+	"crocuswing/internal/upstream/home"
+	"crocuswing/internal/upstream/signal"
+	"crocuswing/internal/upstream/target"
+	"crocuswing/internal/upstream/warmup"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var (
+	bounds = contract.Contract{Slots: 8, Connections: 50, ColdSlots: 2, WarmAfter: 4}
+	first  = target.Role{IsHome: true, IsFirst: true, Share: 5}
+	second = target.Role{IsHome: true, Share: 5}
+)
+
+// warmSlots counts the slots that all histories got from a warm upstream.
+var warmSlots int
+
+// model is the naive version: it keeps only what the stated bounds need.
+type model struct {
+	target      *target.Target
+	role        target.Role
+	incarnation int // of the upstream
+	open        []attempt
+	clock       int // counts events
+
+	known     string    // the incarnation that answers named last
+	coldAt    int       // the event that last gave a sign of cold
+	successes int       // of attempts sent since, answered by known
+	provenAt  time.Time // of the last such success
+	provable  int       // attempts sent before this event prove nothing to an unproven upstream
+	heldUntil time.Time
+}
+
+type attempt struct {
+	slot   target.Slot
+	sentAt int
+	from   string // the incarnation that serves it
+}
+
+// isProven tells whether the bounds let the upstream count as warm.
+func (m *model) isProven() bool {
+	return m.successes >= bounds.WarmAfter && time.Since(m.provenAt) <= warmup.EvidenceAge
+}
+
+func (m *model) acquire(t *rapid.T) {
+	m.clock++
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // do not wait
+	s, err := m.target.Acquire(ctx)
+	if err != nil {
+		return
+	}
+	if !m.isProven() {
+		require.True(t, m.role.IsFirst, "only the first home sends to a cold upstream")
+		require.Less(t, len(m.open), bounds.ColdSlots, "cold slots")
+		require.True(t, s.MustEnd)
+		require.False(t, time.Now().Before(m.heldUntil), "a new first home waits")
+	}
+	m.open = append(m.open, attempt{slot: s, sentAt: m.clock, from: fmt.Sprint("i", m.incarnation)})
+	require.LessOrEqual(t, len(m.open), max(first.Share, bounds.ColdSlots))
+	if !s.MustEnd {
+		warmSlots++
+	}
+}
+
+// take removes one open attempt; there has to be one.
+func (m *model) take(t *rapid.T) attempt {
+	n := rapid.IntRange(0, len(m.open)-1).Draw(t, "attempt")
+	a := m.open[n]
+	m.open = append(m.open[:n], m.open[n+1:]...)
+	return a
+}
+
+func (m *model) cold() {
+	m.coldAt, m.successes = m.clock, 0
+}
+
+func (m *model) succeed(t *rapid.T) {
+	m.clock++
+	if len(m.open) == 0 {
+		return
+	}
+	a := m.take(t)
+	sig := signal.Signal{Incarnation: a.from, Cold: rapid.Bool().Draw(t, "report"), Load: -1}
+	if a.sentAt > m.coldAt && a.sentAt > m.provable {
+		if m.known != "" && a.from != m.known {
+			m.cold()
+		}
+		m.known = a.from
+		m.successes++
+		m.provenAt = time.Now()
+	}
+	m.target.Finish(a.slot, target.Result{Signal: sig})
+}
+
+func (m *model) fail(t *rapid.T) {
+	m.clock++
+	if len(m.open) == 0 {
+		return
+	}
+	a := m.take(t)
+	kind := rapid.SampledFrom([]string{failure.KindReset, failure.KindRefused}).Draw(t, "kind")
+	if a.sentAt > m.coldAt && a.sentAt > m.provable {
+		m.cold()
+	}
+	m.target.Finish(a.slot, target.Result{Kind: kind, Signal: signal.Signal{Load: -1}})
+}
+
+func (m *model) doubt(*rapid.T) {
+	m.clock++
+	m.target.Told(m.known, false, true)
+	if m.successes >= bounds.WarmAfter {
+		m.provenAt = time.Time{}
+	}
+}
+
+func (m *model) restart(*rapid.T) {
+	m.clock++
+	m.incarnation++
+}
+
+func (m *model) change(t *rapid.T) {
+	m.clock++
+	role := rapid.SampledFrom([]target.Role{first, second}).Draw(t, "role")
+	if role.IsFirst && !m.role.IsFirst {
+		m.heldUntil = time.Now().Add(target.Handover)
+	}
+	m.role = role
+	m.target.SetRole(role)
+}
+
+func (m *model) pass(t *rapid.T) {
+	m.clock++
+	time.Sleep(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+}
+
+// endless hides the deadline of the test, which a bubble of virtual time must not ask for.
+type endless struct{ rapid.TB }
+
+// TestBoundsHoldForAllHistories runs random histories against the naive model.
+func TestBoundsHoldForAllHistories(t *testing.T) {
+	require.NoError(t, flag.Set("rapid.seed", "5"))
+	require.NoError(t, flag.Set("rapid.checks", "400"))
+	require.NoError(t, flag.Set("rapid.nofailfile", "true"))
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(endless{t}, func(t *rapid.T) {
+			m := &model{role: first, target: target.New("a", bounds, home.Place{})}
+			m.target.SetRole(first)
+			t.Repeat(map[string]func(*rapid.T){
+				"acquire": m.acquire, "acquire again": m.acquire, "succeed": m.succeed, "succeed again": m.succeed,
+				"fail": m.fail, "restart": m.restart, "change role": m.change, "pass": m.pass, "doubt": m.doubt,
+			})
+		})
+	})
+	require.Greater(t, warmSlots, 100, "the histories must reach warm upstreams")
+}
