--- a/internal/upstream/directory/directory.go
+++ b/internal/upstream/directory/directory.go
@@ -24,6 +24,10 @@
 	Part(ctx context.Context, q part.Request) (part.Reply, signal.Signal, error)
 	// Order runs one order. It fails with *failure.Failure.
 	Order(ctx context.Context, q order.Request) (order.Reply, signal.Signal, error)
+	// SetShare changes the highest number of connections.
+	SetShare(connections int)
+	// SetLeaving refuses requests while new work is forbidden; those in flight finish.
+	SetLeaving(leaving bool)
 	// Close closes the connections; those in use close when their request ends.
 	Close()
 }
@@ -125,7 +129,7 @@
 	d.change(func() { d.ranking = d.ranking.Next(candidates(v)) })
 	for name, c := range d.named {
 		if m, ok := v.Roster().Member(name); ok {
-			d.set(m, c)
+			d.set(m, c, v.Permits(name))
 		}
 	}
 	for name, e := range d.entries {
@@ -177,8 +181,8 @@
 	return in
 }
 
-// set brings one upstream's entry up to date.
-func (d *Directory) set(m member.Member, c contract.Contract) {
+// set brings one upstream's entry up to date; permitted tells whether the view permits new work.
+func (d *Directory) set(m member.Member, c contract.Contract, permitted bool) {
 	place := home.Place{FailureDomain: m.FailureDomain, Region: m.Region}
 	e, ok := d.entries[m.Name]
 	if !ok || e.Contract() != c || e.Place() != place || e.address != m.Address {
@@ -196,18 +200,25 @@
 	if connections != e.connections {
 		d.connect(e, connections)
 	}
+	if e.link != nil {
+		e.link.SetLeaving(!permitted)
+	}
 	e.SetRole(role)
 }
 
-// connect replaces the link by one with another share of connections, or by none.
+// connect opens the link, changes its share of connections, or closes it.
 func (d *Directory) connect(e *entry, connections int) {
-	old := e.link
-	var next Link
-	if connections > 0 {
+	old, next := e.link, e.link
+	switch {
+	case connections == 0:
+		next = nil
+	case old == nil:
 		next = d.open(e.Name(), e.address, connections)
+	default:
+		old.SetShare(connections)
 	}
 	d.change(func() { e.link, e.connections = next, connections })
-	if old != nil {
+	if old != nil && next == nil {
 		old.Close()
 	}
 }
