--- a/internal/entry/handler/handler.go
+++ b/internal/entry/handler/handler.go
@@ -18,8 +18,6 @@
 	"crocuswing/internal/operator/metric"
 	"crocuswing/internal/order/desk"
 	"crocuswing/internal/order/outcome"
-	"crocuswing/internal/order/table"
-	"crocuswing/internal/order/ticket"
 	"crocuswing/internal/query/plan"
 	"crocuswing/internal/query/run"
 	"crocuswing/internal/wire/call"
@@ -63,8 +61,9 @@
 	h.mux.HandleFunc("POST /v1/search", h.serve("search", h.search))
 	h.mux.HandleFunc("POST /v1/lookup", h.serve("lookup", h.lookup))
 	h.mux.HandleFunc("POST /v1/tickets", h.serve("ticket", h.mint))
-	h.mux.HandleFunc("POST /v1/orders", h.serve("order", h.place))
-	h.mux.HandleFunc("GET /v1/orders/{ticket}", h.serve("ask", h.ask))
+	h.mux.HandleFunc("POST /v1/orders", h.placeOrder)
+	h.mux.HandleFunc("GET /v1/orders/{ticket}", h.serveTicket("ask", h.ask))
+	h.mux.HandleFunc("DELETE /v1/orders/{ticket}", h.serveTicket("withdraw", h.withdraw))
 	return h
 }
 
@@ -88,8 +87,14 @@
 
 func (e *refusal) Error() string { return e.reason }
 
-// serve identifies the caller, pins the view and answers with JSON.
+// serve answers with JSON. A refusal states that nothing was run.
 func (h *Handler) serve(kind string, answer func(request) (any, error)) http.HandlerFunc {
+	return h.serveRefusing(outcome.NotRun, kind, answer)
+}
+
+// serveRefusing identifies the caller, pins the view and answers with JSON. A refusal that
+// brings no outcome of its own states the given one.
+func (h *Handler) serveRefusing(state, kind string, answer func(request) (any, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		start := time.Now()
 		id := r.Header.Get(header.RequestID)
@@ -99,19 +104,19 @@
 		w.Header().Set(header.RequestID, id)
 		ctx, cancel, err := withDeadline(r)
 		if err != nil {
-			h.refuse(w, id, err)
+			h.refuse(w, id, state, err)
 			return
 		}
 		defer cancel()
 		q, err := h.identify(r.WithContext(ctx), id)
 		if err != nil {
-			h.refuse(w, id, err)
+			h.refuse(w, id, state, err)
 			return
 		}
 		value, err := answer(q)
 		h.metrics.Observe(q.caller.Name, q.class.Name, kind, time.Since(start), err == nil)
 		if err != nil {
-			h.refuse(w, id, err)
+			h.refuse(w, id, state, err)
 			return
 		}
 		writeJSON(w, http.StatusOK, value)
@@ -132,7 +137,7 @@
 
 func (h *Handler) search(q request) (any, error) {
 	var m call.Search
-	if err := readJSON(q, &m); err != nil {
+	if err := readJSON(q.Request, &m); err != nil {
 		return nil, err
 	}
 	return h.query(q, run.Query{RequestID: q.id, Service: m.Service, Query: m.Query})
@@ -140,7 +145,7 @@
 
 func (h *Handler) lookup(q request) (any, error) {
 	var m call.Lookup
-	if err := readJSON(q, &m); err != nil {
+	if err := readJSON(q.Request, &m); err != nil {
 		return nil, err
 	}
 	if m.Key == "" {
@@ -162,67 +167,33 @@
 	return h.runner.Run(q.Context(), q.view, rq)
 }
 
-func (h *Handler) mint(q request) (any, error) {
-	var m call.TicketRequest
-	if err := readJSON(q, &m); err != nil {
-		return nil, err
-	}
-	if _, ok := q.view.Config().Service(m.Service); !ok {
-		return nil, &refusal{status: http.StatusNotFound, reason: "there is no service " + m.Service}
-	}
-	text, expires, err := h.desk.Mint(q.caller.Name, m.Service, time.Now())
-	if err != nil {
-		return nil, err
-	}
-	return call.Ticket{Ticket: text, ExpiresMS: expires.UnixMilli()}, nil
-}
-
-func (h *Handler) place(q request) (any, error) {
-	var m call.Order
-	if err := readJSON(q, &m); err != nil {
-		return nil, err
-	}
-	release, err := h.admission.Admit(q.caller.Name, q.class, 1)
-	if err != nil {
-		return nil, err
-	}
-	defer release()
-	return h.desk.Place(q.Context(), q.view, desk.Placement{
-		Ticket:  m.Ticket,
-		Caller:  q.caller.Name,
-		Service: m.Service,
-		Key:     m.Key,
-		Body:    m.Body,
-	})
-}
-
-func (h *Handler) ask(q request) (any, error) {
-	return h.desk.Place(q.Context(), q.view, desk.Placement{Ticket: q.PathValue("ticket"), Caller: q.caller.Name, Ask: true})
-}
-
-func (h *Handler) refuse(w http.ResponseWriter, id string, err error) {
+func (h *Handler) refuse(w http.ResponseWriter, id, state string, err error) {
 	status := statusOf(err)
 	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", retryAfterSeconds)
 	}
-	writeJSON(w, status, call.Refusal{RequestID: id, Outcome: outcome.NotRun, Reason: err.Error()})
+	m := call.Refusal{RequestID: id, Outcome: state, Reason: err.Error(), NotForwarded: state == outcome.Unknown}
+	var refused *orderRefusal
+	if errors.As(err, &refused) {
+		m.Outcome = refused.State
+		m.Reference = refused.Reference
+		m.NotForwarded = refused.NotForwarded
+	}
+	writeJSON(w, status, m)
 }
 
 func statusOf(err error) int {
 	var r *refusal
 	var overload *admission.Error
-	var badTicket *ticket.Error
-	var badOrder *table.Error
+	var order *orderRefusal
 	var noService *plan.ServiceError
 	switch {
 	case errors.As(err, &r):
 		return r.status
 	case errors.As(err, &overload):
 		return http.StatusTooManyRequests
-	case errors.As(err, &badTicket):
-		return http.StatusForbidden
-	case errors.As(err, &badOrder):
-		return http.StatusConflict
+	case errors.As(err, &order):
+		return order.status()
 	case errors.As(err, &noService):
 		return http.StatusNotFound
 	}
@@ -244,8 +215,8 @@
 	return ctx, cancel, nil
 }
 
-func readJSON(q request, v any) error {
-	dec := json.NewDecoder(http.MaxBytesReader(nil, q.Body, maxBodyBytes))
+func readJSON(r *http.Request, v any) error {
+	dec := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: "body: " + err.Error()}
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -107,23 +107,18 @@
 	return c, ok
 }
 
-// Forward hands an order to the instance that owns its ticket. It fails only if no byte was sent.
+// Forward hands a placement to the instance that owns its ticket. It fails with *desk.UnsentError
+// if the owner did not get it; after any other error the owner may have acted.
 func (p *Peers) Forward(ctx context.Context, owner string, placement desk.Placement) (outcome.Outcome, error) {
 	c, ok := p.client(owner)
 	if !ok {
-		return outcome.Outcome{}, errUnknownPeer
+		return outcome.Outcome{}, &desk.UnsentError{Err: errUnknownPeer}
 	}
 	var o outcome.Outcome
 	err := c.Call(ctx, MethodOrder, placement, &o)
 	var unsent *client.UnsentError
-	var refused *client.RefusedError
-	switch {
-	case err == nil:
-		return o, nil
-	case errors.As(err, &unsent):
-		return outcome.Outcome{}, err
-	case errors.As(err, &refused):
-		return outcome.Outcome{State: outcome.NotRun, Reason: refused.Reason}, nil
+	if errors.As(err, &unsent) {
+		return outcome.Outcome{}, &desk.UnsentError{Err: err}
 	}
-	return outcome.Outcome{State: outcome.Unknown, Reason: err.Error()}, nil
+	return o, err
 }
--- a/internal/order/desk/desk.go
+++ b/internal/order/desk/desk.go
@@ -1,54 +1,85 @@
 // Package desk runs orders under tickets, at most once each.
+//
+// A ticket names the incarnation of the instance that minted it. Only that incarnation runs its order and
+// only that incarnation states that it did not run; the others hand the order on to it and, where they
+// cannot, answer that the outcome is unknown.
 package desk
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"crocuswing/internal/config/service"
 	"crocuswing/internal/fleet/view"
 	"crocuswing/internal/index/shard"
 	"crocuswing/internal/order/outcome"
 	"crocuswing/internal/order/table"
 	"crocuswing/internal/order/ticket"
-	"crocuswing/internal/upstream/failure"
 	"crocuswing/internal/wire/order"
-
-	"github.com/cespare/xxhash/v2"
-)
-
-const (
-	ticketLife  = 2 * time.Minute
-	maxTickets  = 100_000
-	maxAttempts = 4
 )
 
 // Sender chooses upstreams and sends orders to them.
 type Sender interface {
 	// Choose picks a replica that may get new work, besides those in tried.
 	Choose(s shard.Shard, tried []string) (string, bool)
-	// Order sends one order. It fails with *failure.Failure.
+	// Order sends one order. It fails with *failure.Failure, whose NotRun tells whether another try is safe.
 	Order(ctx context.Context, upstream string, q order.Request) (order.Reply, error)
 }
 
-// Forwarder hands an order to the instance that owns its ticket.
+// Forwarder hands a placement to the instance that owns its ticket.
 type Forwarder interface {
-	// Forward fails only if no byte of the order was sent.
+	// Forward fails with *UnsentError if no byte of the placement was sent. After any other error
+	// the owner may have acted.
 	Forward(ctx context.Context, owner string, p Placement) (outcome.Outcome, error)
 }
 
-// Placement is one order under its ticket. Ask only asks for the recorded outcome.
+// Viewer gives a view that is fresh enough for new work.
+type Viewer interface {
+	// Fresh refreshes the view if it is too old. It fails if that cannot be done before ctx ends.
+	Fresh(ctx context.Context) (view.View, error)
+}
+
+// UnsentError tells that no byte of a placement was sent to the owner of its ticket.
+type UnsentError struct{ Err error }
+
+// Error gives the cause.
+func (e *UnsentError) Error() string { return fmt.Sprintf("placement was not sent: %v", e.Err) }
+
+// Unwrap gives the cause.
+func (e *UnsentError) Unwrap() error { return e.Err }
+
+// What a placement does under its ticket.
+const (
+	Place    = ""         // runs the order, or joins it
+	Ask      = "ask"      // asks for the outcome and changes nothing
+	Withdraw = "withdraw" // asks for the outcome and forbids an order that was not placed yet
+)
+
+// Placement is one order under its ticket. Service, Key and Body are empty unless Action is Place.
 type Placement struct {
 	Ticket  string `msgpack:"t"`
 	Caller  string `msgpack:"c"`
 	Service string `msgpack:"s"`
 	Key     string `msgpack:"k"`
 	Body    string `msgpack:"b"`
-	Ask     bool   `msgpack:"a"`
+	Action  string `msgpack:"a"`
+}
+
+// hash identifies the content of the order. Each field is preceded by its length, so that no two
+// orders give the same input.
+func (p Placement) hash() table.Hash {
+	h := sha256.New()
+	for _, field := range []string{p.Service, p.Key, p.Body} {
+		var length [8]byte
+		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+		_, _ = h.Write(length[:])
+		_, _ = h.Write([]byte(field))
+	}
+	return table.Hash(h.Sum(nil))
 }
 
 // Desk runs the orders of the tickets that it minted. It is safe for concurrent use.
@@ -56,53 +87,100 @@
 	owner       string
 	incarnation uint64
 	key         []byte
-	number      atomic.Uint64
+	started     time.Time
 	table       *table.Table
 	sender      Sender
 	forwarder   Forwarder
+	viewer      Viewer
 	running     sync.WaitGroup
 }
 
+// Option changes how a desk is made.
+type Option func(*Desk)
+
+// WithTable uses another table of tickets.
+func WithTable(t *table.Table) Option { return func(d *Desk) { d.table = t } }
+
 // New makes a desk for one incarnation of the instance owner; key signs the tickets.
-func New(owner string, incarnation uint64, key []byte, s Sender, f Forwarder) *Desk {
-	return &Desk{owner: owner, incarnation: incarnation, key: key, table: table.New(maxTickets), sender: s, forwarder: f}
+func New(owner string, incarnation uint64, key []byte, s Sender, f Forwarder, v Viewer, options ...Option) *Desk {
+	d := &Desk{
+		owner:       owner,
+		incarnation: incarnation,
+		key:         key,
+		started:     time.Now(),
+		sender:      s,
+		forwarder:   f,
+		viewer:      v,
+	}
+	for _, o := range options {
+		o(d)
+	}
+	if d.table == nil {
+		d.table = table.New()
+	}
+	return d
 }
 
-// Mint gives a new ticket for one order of a caller to a service, and its end.
-func (d *Desk) Mint(caller, service string, now time.Time) (string, time.Time, error) {
-	expires := now.Add(ticketLife)
+// Mint gives a new ticket for one order of a caller to a service, and the time for which it may be used.
+// It fails with *ticket.Error.
+func (d *Desk) Mint(caller, service string) (string, time.Duration, error) {
+	now := d.now()
+	id, end := d.table.Issue(now)
 	text, err := ticket.Mint(ticket.Ticket{
 		Owner:       d.owner,
 		Incarnation: d.incarnation,
-		Number:      d.number.Add(1),
-		ExpiresMS:   expires.UnixMilli(),
+		Number:      id,
+		EndMS:       end.Milliseconds(),
 		Caller:      caller,
 		Service:     service,
 	}, d.key)
-	return text, expires, err
+	return text, end - now, err
 }
 
-// Place runs an order, or gives the outcome that its ticket has already.
-// It fails with *ticket.Error or *table.Error; nothing of the order was dispatched then.
-func (d *Desk) Place(ctx context.Context, v view.View, p Placement) (outcome.Outcome, error) {
+// Place takes a placement from a caller. It forwards the tickets of other instances. The outcome is
+// unknown if ctx ends first; the order runs on then, and its ticket can be asked again.
+func (d *Desk) Place(ctx context.Context, p Placement) outcome.Outcome {
 	t, err := ticket.Verify(p.Ticket, d.key, p.Caller)
 	if err != nil {
-		return outcome.Outcome{}, err
-	}
-	if t.Service != p.Service && !p.Ask {
-		return outcome.Outcome{}, &ticket.Error{Reason: "is for another service"}
+		return refuseTicket(err)
 	}
 	if t.Owner != d.owner {
-		return d.forward(ctx, t, p), nil
+		return d.forward(ctx, t, p).WithReference(t.Reference())
 	}
-	if t.Incarnation != d.incarnation {
-		return outcome.Outcome{State: outcome.Unknown, Reason: "the ticket's owner was replaced"}, nil
+	return d.answer(ctx, t, p).WithReference(t.Reference())
+}
+
+// Answer takes a placement that another instance forwarded. It is never forwarded again.
+func (d *Desk) Answer(ctx context.Context, p Placement) outcome.Outcome {
+	t, err := ticket.Verify(p.Ticket, d.key, p.Caller)
+	if err != nil {
+		return refuseTicket(err)
 	}
-	return d.placeOwn(ctx, v, t, p)
+	return d.answer(ctx, t, p).WithReference(t.Reference())
 }
 
-// Wait blocks until no order runs any more or ctx ends.
-func (d *Desk) Wait(ctx context.Context) {
+// Refuse answers a placement that this instance may not take on now. It settles the ticket if that is
+// its own: an order that was placed keeps its outcome, one that was not never will be.
+func (d *Desk) Refuse(ctx context.Context, p Placement, reason string) outcome.Outcome {
+	t, err := ticket.Verify(p.Ticket, d.key, p.Caller)
+	if err != nil {
+		return refuseTicket(err)
+	}
+	if !d.owns(t) {
+		o := outcome.Refused(outcome.RefusedBusy, outcome.Unknown, reason)
+		o.NotForwarded = true
+		return o.WithReference(t.Reference())
+	}
+	e, o := d.table.Close(t.Number, t.End(), d.now())
+	if e != nil {
+		return wait(ctx, e).WithReference(t.Reference())
+	}
+	o.Refusal, o.Reason = outcome.RefusedBusy, reason
+	return o.WithReference(t.Reference())
+}
+
+// Wait blocks until no order runs any more or ctx ends, and gives the number of orders that still run.
+func (d *Desk) Wait(ctx context.Context) int {
 	finished := make(chan struct{})
 	go func() {
 		d.running.Wait()
@@ -112,88 +190,93 @@
 	case <-finished:
 	case <-ctx.Done():
 	}
+	return d.table.Stats().Running
 }
 
-// Tickets is the number of tickets on record.
-func (d *Desk) Tickets() int { return d.table.Len() }
+// Stats counts the tickets on record.
+func (d *Desk) Stats() table.Stats { return d.table.Stats() }
 
-func (d *Desk) forward(ctx context.Context, t ticket.Ticket, p Placement) outcome.Outcome {
-	o, err := d.forwarder.Forward(ctx, t.Owner, p)
-	if err != nil {
-		return outcome.Outcome{State: outcome.Unknown, Reason: fmt.Sprintf("the ticket's owner %s cannot be reached", t.Owner)}
+func (d *Desk) now() time.Duration { return time.Since(d.started) }
+
+func (d *Desk) owns(t ticket.Ticket) bool {
+	return t.Owner == d.owner && t.Incarnation == d.incarnation
+}
+
+func (d *Desk) answer(ctx context.Context, t ticket.Ticket, p Placement) outcome.Outcome {
+	if !d.owns(t) {
+		return outcome.Outcome{State: outcome.Unknown, Reason: "the ticket's owner was replaced"}
 	}
-	return o
+	switch p.Action {
+	case Place:
+		return d.place(ctx, t, p)
+	case Withdraw:
+		e, o := d.table.Close(t.Number, t.End(), d.now())
+		return settle(ctx, e, o)
+	}
+	e, o := d.table.Ask(t.Number, t.End(), d.now())
+	return settle(ctx, e, o)
 }
 
-func (d *Desk) placeOwn(ctx context.Context, v view.View, t ticket.Ticket, p Placement) (outcome.Outcome, error) {
-	if p.Ask {
-		return d.ask(ctx, t), nil
+func (d *Desk) place(ctx context.Context, t ticket.Ticket, p Placement) outcome.Outcome {
+	if t.Service != p.Service {
+		return outcome.Refused(outcome.RefusedService, outcome.Unknown, "the ticket is for service "+t.Service)
 	}
-	body := xxhash.Sum64String(p.Service + "\x00" + p.Key + "\x00" + p.Body)
-	e, first, err := d.table.Begin(t.ID(), body, time.Now(), time.UnixMilli(t.ExpiresMS))
-	if err != nil {
-		return outcome.Outcome{}, err
+	e, first, o := d.table.Begin(t.Number, t.End(), p.hash(), d.now())
+	if e == nil {
+		return o
 	}
 	if first {
-		d.running.Go(func() { d.run(context.WithoutCancel(ctx), v, e, t, p) })
+		start := startBy(ctx, time.Now())
+		d.running.Go(func() { e.Finish(d.run(context.WithoutCancel(ctx), start, t, p)) })
 	}
-	return wait(ctx, e), nil
+	return wait(ctx, e)
 }
 
-func (d *Desk) ask(ctx context.Context, t ticket.Ticket) outcome.Outcome {
-	e, ok := d.table.Find(t.ID())
-	if !ok {
-		return outcome.Outcome{State: outcome.NotRun, Reason: "no order was placed under this ticket"}
+func refuseTicket(err error) outcome.Outcome {
+	o := outcome.Refused(outcome.RefusedTicket, outcome.Unknown, err.Error())
+	o.NotForwarded = true
+	return o
+}
+
+// settle gives the outcome of an entry, or o without one.
+func settle(ctx context.Context, e *table.Entry, o outcome.Outcome) outcome.Outcome {
+	if e == nil {
+		return o
 	}
 	return wait(ctx, e)
 }
 
 func wait(ctx context.Context, e *table.Entry) outcome.Outcome {
+	done := e.Done()
 	select {
-	case <-e.Done():
+	case <-done:
+		return e.Outcome()
+	default:
+	}
+	select {
+	case <-done:
 		return e.Outcome()
 	case <-ctx.Done():
 		return outcome.Outcome{State: outcome.Unknown, Reason: "the order still runs"}
 	}
 }
 
-// run sends the order until one attempt may have reached an upstream.
-func (d *Desk) run(ctx context.Context, v view.View, e *table.Entry, t ticket.Ticket, p Placement) {
-	ctx, cancel := context.WithTimeout(ctx, v.Config().Preset().Deadline())
-	defer cancel()
-	s, ok := v.Config().Service(p.Service)
-	if !ok || s.Kind != service.KindOrder {
-		e.Finish(outcome.Outcome{State: outcome.NotRun, Reason: "there is no order service " + p.Service})
-		return
-	}
-	q := order.Request{
-		RequestID: fmt.Sprintf("%s/%x/%d", t.Owner, t.Incarnation, t.Number),
-		Service:   p.Service,
-		Key:       p.Key,
-		Body:      p.Body,
-	}
-	e.Finish(d.send(ctx, s.Current().ShardOf(p.Key), q))
-}
-
-func (d *Desk) send(ctx context.Context, s shard.Shard, q order.Request) outcome.Outcome {
-	var tried []string
-	for range maxAttempts {
-		upstream, ok := d.sender.Choose(s, tried)
-		if !ok {
-			return outcome.Outcome{State: outcome.NotRun, Reason: "no upstream may take the order"}
-		}
-		reply, err := d.sender.Order(ctx, upstream, q)
+func (d *Desk) forward(ctx context.Context, t ticket.Ticket, p Placement) outcome.Outcome {
+	unsent := true
+	for n := range maxForwards {
+		o, err := d.forwarder.Forward(ctx, t.Owner, p)
 		if err == nil {
-			return outcome.Outcome{State: outcome.Done, OrderID: reply.OrderID}
-		}
-		var f *failure.Failure
-		if !errors.As(err, &f) || !f.NotRun {
-			return outcome.Outcome{State: outcome.Unknown, Reason: err.Error()}
+			return o
 		}
-		if ctx.Err() != nil {
-			return outcome.Outcome{State: outcome.NotRun, Reason: err.Error()}
+		var u *UnsentError
+		unsent = unsent && errors.As(err, &u)
+		if n+1 == maxForwards || !pause(ctx, forwardPause<<n) {
+			break
 		}
-		tried = append(tried, upstream)
 	}
-	return outcome.Outcome{State: outcome.NotRun, Reason: "every upstream refused the order"}
+	return outcome.Outcome{
+		State:        outcome.Unknown,
+		Reason:       "the ticket's owner " + t.Owner + " cannot be reached",
+		NotForwarded: unsent,
+	}
 }
--- a/internal/order/ticket/ticket.go
+++ b/internal/order/ticket/ticket.go
@@ -5,49 +5,69 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/base64"
-	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-const macBytes = 16
+const (
+	macBytes = 16
+	// MaxTextBytes is the longest text of a ticket.
+	MaxTextBytes = 512
+	// label separates the check values of tickets from other uses of the key.
+	label = "crocuswing-ticket-1\x00"
+)
 
 // Ticket names the incarnation of the instance that owns it and the only use it permits.
 type Ticket struct {
 	Owner       string `msgpack:"o"`
 	Incarnation uint64 `msgpack:"i"`
-	Number      uint64 `msgpack:"n"`
-	ExpiresMS   int64  `msgpack:"e"` // Unix time in milliseconds
-	Caller      string `msgpack:"c"`
-	Service     string `msgpack:"s"`
+	// Number counts the tickets of the incarnation from 1.
+	Number uint64 `msgpack:"n"`
+	// EndMS is the end in milliseconds of the owner's monotonic clock since its incarnation began.
+	// Only the owner can judge it.
+	EndMS   int64  `msgpack:"e"`
+	Caller  string `msgpack:"c"`
+	Service string `msgpack:"s"`
 }
 
-// Error tells why a ticket is refused.
+// Error tells why a ticket is refused. It does not tell whether an order ran under the ticket:
+// an instance with another key finds the check value of a good ticket wrong.
 type Error struct{ Reason string }
 
 // Error gives the reason.
 func (e *Error) Error() string { return "ticket: " + e.Reason }
 
-// IsExpired tells whether the ticket may no longer start an order.
-func (t Ticket) IsExpired(now time.Time) bool { return now.UnixMilli() >= t.ExpiresMS }
+// End is the end of the ticket on the owner's clock.
+func (t Ticket) End() time.Duration { return time.Duration(t.EndMS) * time.Millisecond }
 
-// ID identifies the ticket among all tickets of its owner's incarnation.
-func (t Ticket) ID() uint64 { return t.Number }
+// Reference identifies the ticket's order towards upstreams and in the books of both sides.
+func (t Ticket) Reference() string {
+	return fmt.Sprintf("%s/%x/%d", t.Owner, t.Incarnation, t.Number)
+}
 
-// Mint gives the text of t with a check value under key.
+// Mint gives the text of t with a check value under key. It fails with *Error if the text would be too long.
 func Mint(t Ticket, key []byte) (string, error) {
-	body, err := msgpack.Marshal(t)
+	body, err := msgpack.Marshal(&t)
 	if err != nil {
 		return "", fmt.Errorf("encode ticket: %w", err)
 	}
-	return base64.RawURLEncoding.EncodeToString(append(sum(body, key), body...)), nil
+	text := base64.RawURLEncoding.EncodeToString(append(sum(body, key), body...))
+	if len(text) > MaxTextBytes {
+		return "", &Error{Reason: "has too long names"}
+	}
+	return text, nil
 }
 
 // Verify gives the ticket in text if its check value is right and it belongs to the caller.
 // It fails with *Error.
 func Verify(text string, key []byte, caller string) (Ticket, error) {
+	// The decoder skips line breaks, by which a second text of the same ticket could be made.
+	if len(text) > MaxTextBytes || strings.ContainsAny(text, "\r\n") {
+		return Ticket{}, &Error{Reason: "is malformed"}
+	}
 	raw, err := base64.RawURLEncoding.Strict().DecodeString(text)
 	if err != nil || len(raw) <= macBytes {
 		return Ticket{}, &Error{Reason: "is malformed"}
@@ -57,7 +77,7 @@
 	}
 	var t Ticket
 	if err := msgpack.Unmarshal(raw[macBytes:], &t); err != nil {
-		return Ticket{}, errors.Join(&Error{Reason: "is malformed"}, err)
+		return Ticket{}, &Error{Reason: "is malformed: " + err.Error()}
 	}
 	if t.Caller != caller {
 		return Ticket{}, &Error{Reason: "belongs to another caller"}
@@ -67,6 +87,7 @@
 
 func sum(body, key []byte) []byte {
 	mac := hmac.New(sha256.New, key)
+	_, _ = mac.Write([]byte(label))
 	_, _ = mac.Write(body)
 	return mac.Sum(nil)[:macBytes]
 }
--- a/internal/serve/instance/instance.go
+++ b/internal/serve/instance/instance.go
@@ -19,8 +19,6 @@
 	"crocuswing/internal/operator/metric"
 	"crocuswing/internal/operator/status"
 	"crocuswing/internal/order/desk"
-	"crocuswing/internal/order/table"
-	"crocuswing/internal/order/ticket"
 	"crocuswing/internal/peer/server"
 	"crocuswing/internal/platform/reader"
 	"crocuswing/internal/query/run"
@@ -93,7 +91,7 @@
 	sender := dispatch.New(s.Instance, i.follower, i.directory, i.peers)
 	i.dispatcher = sender
 	i.runner = run.New(sender)
-	i.desk = desk.New(s.Instance, i.incarnation, []byte(s.TicketKey), sender, i.peers)
+	i.desk = desk.New(s.Instance, i.incarnation, []byte(s.TicketKey), sender, i.peers, i)
 	return i
 }
 
@@ -138,7 +136,9 @@
 		i.log.Error("requests were cut off", zap.Error(err))
 	}
 	peerCalls.Shutdown(ctx)
-	i.desk.Wait(ctx)
+	if n := i.desk.Wait(ctx); n > 0 {
+		i.log.Error("orders were left with an unknown outcome", zap.Int("orders", n))
+	}
 	i.peers.Close()
 }
 
@@ -171,7 +171,7 @@
 		DomainsOut:    v.Config().DomainsOut(),
 		ViewAgeMS:     v.Age(time.Now()).Milliseconds(),
 		ListVersion:   v.Roster().Version(),
-		Tickets:       i.desk.Tickets(),
+		Tickets:       i.desk.Stats().Tickets,
 		FirstAttempts: first,
 		ExtraAttempts: extra,
 		Cold:          make([]string, 0),
@@ -230,17 +230,7 @@
 	if err := msgpack.Unmarshal(body, &p); err != nil {
 		return nil, err
 	}
-	v, err := i.Fresh(ctx)
-	if err != nil {
-		return nil, err
-	}
-	o, err := i.desk.Place(ctx, v, p)
-	var badTicket *ticket.Error
-	var badOrder *table.Error
-	if errors.As(err, &badTicket) || errors.As(err, &badOrder) {
-		return nil, err
-	}
-	return o, err
+	return i.desk.Answer(ctx, p), nil
 }
 
 func (i *Instance) listen() error {
--- a/internal/upstream/dispatch/dispatch.go
+++ b/internal/upstream/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"crocuswing/internal/upstream/failure"
 	"crocuswing/internal/upstream/home"
 	"crocuswing/internal/upstream/link"
+	"crocuswing/internal/upstream/start"
 	"crocuswing/internal/upstream/target"
 	"crocuswing/internal/wire/order"
 	"crocuswing/internal/wire/part"
@@ -110,12 +111,12 @@
 	if !d.permits(t) {
 		return relay.Reply{}, forbidden(q.Upstream)
 	}
-	start := time.Now()
+	sent := time.Now()
 	reply, err := d.relayer.Relay(ctx, first, q)
 	if err != nil {
 		return relay.Reply{}, err
 	}
-	t.Relayed(time.Since(start), reply.Signal, reply.Cold)
+	t.Relayed(time.Since(sent), reply.Signal, reply.Cold)
 	if reply.Failed != "" {
 		return relay.Reply{}, &failure.Failure{Upstream: q.Upstream, Kind: reply.Failed, NotRun: reply.NotRun, Err: errors.New(reply.Reason)}
 	}
@@ -124,6 +125,8 @@
 
 // direct runs one exchange inside the upstream's limit and records its result.
 func (d *Dispatcher) direct(ctx context.Context, t *target.Target, q relay.Request) (relay.Reply, error) {
+	ctx, cancel := limitStart(ctx, q)
+	defer cancel()
 	if err := t.Acquire(ctx); err != nil {
 		return relay.Reply{}, &failure.Failure{Upstream: q.Upstream, Kind: failure.KindTimeout, NotRun: true, Err: err}
 	}
@@ -132,16 +135,26 @@
 	if !ok || !d.permits(t) || (t.IsCold() && d.firstHome(q.Upstream) != d.self) {
 		return relay.Reply{}, forbidden(q.Upstream)
 	}
-	start := time.Now()
+	sent := time.Now()
 	reply, err := exchange(ctx, l, q)
 	if err == nil {
-		t.Succeeded(time.Since(start), reply.Signal)
+		t.Succeeded(time.Since(sent), reply.Signal)
 		return reply, nil
 	}
 	t.Failed(isBroken(err), reply.Signal)
 	return reply, err
 }
 
+// limitStart limits the time in which an order has to reach its upstream. Its answer may take longer.
+func limitStart(ctx context.Context, q relay.Request) (context.Context, context.CancelFunc) {
+	if q.Order != nil {
+		if left, ok := q.Order.StartWithin(); ok {
+			return start.Within(ctx, left)
+		}
+	}
+	return ctx, func() {}
+}
+
 func exchange(ctx context.Context, l *link.Link, q relay.Request) (relay.Reply, error) {
 	var reply relay.Reply
 	var err error
--- a/internal/upstream/link/link.go
+++ b/internal/upstream/link/link.go
@@ -16,6 +16,7 @@
 
 	"crocuswing/internal/upstream/failure"
 	"crocuswing/internal/upstream/signal"
+	"crocuswing/internal/upstream/start"
 	"crocuswing/internal/wire/header"
 	"crocuswing/internal/wire/order"
 	"crocuswing/internal/wire/part"
@@ -109,7 +110,7 @@
 	req.ContentLength = int64(len(text))
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(header.RequestID, id)
-	if deadline, ok := ctx.Deadline(); ok {
+	if deadline, ok := start.Deadline(ctx); ok {
 		left := max(time.Until(deadline).Milliseconds(), 1)
 		req.Header.Set(header.DeadlineMS, strconv.FormatInt(left, 10))
 	}
--- a/internal/wire/order/order.go
+++ b/internal/wire/order/order.go
@@ -1,15 +1,34 @@
 // Package order holds the messages for orders, which may not be repeated.
 package order
 
+import "time"
+
 // Request asks an upstream to run one order.
 type Request struct {
+	// RequestID identifies one attempt and is echoed in its answer.
 	RequestID string `json:"request-id" msgpack:"i"`
+	// Reference identifies the order; it is the same in all attempts, of which at most one may run.
+	Reference string `json:"reference" msgpack:"r"`
 	Service   string `json:"service" msgpack:"s"`
 	Key       string `json:"key" msgpack:"k"`
 	Body      string `json:"body" msgpack:"b"`
+	// StartWithinMS is the time in which the order has to reach the upstream; 0 sets no limit.
+	// The upstream gets it as the deadline header.
+	StartWithinMS int64 `json:"-" msgpack:"w"`
+}
+
+// StartWithin is the time in which the order has to reach the upstream, and false if there is no limit.
+func (q Request) StartWithin() (time.Duration, bool) {
+	return time.Duration(q.StartWithinMS) * time.Millisecond, q.StartWithinMS > 0
+}
+
+// WithStartWithin gives a request that has to reach the upstream within d.
+func (q Request) WithStartWithin(d time.Duration) Request {
+	q.StartWithinMS = max(d.Milliseconds(), 1)
+	return q
 }
 
-// Reply tells that the order ran; OrderID is the upstream's name for it.
+// Reply tells that the order ran; OrderID is the upstream's name for it, of at most 128 bytes.
 type Reply struct {
 	RequestID string `json:"request-id" msgpack:"i"`
 	OrderID   string `json:"order-id" msgpack:"o"`
