test: orders judged by what the upstreams ran, under faults of every hop

Cause: no promise about orders was tested; a 303 answer to an order was followed, which sent the request again (found by the table of cut links).

--- a/internal/entry/handler/order.go
+++ b/internal/entry/handler/order.go
@@ -24,6 +24,8 @@
 		return http.StatusGone
 	case outcome.RefusedConflict, outcome.RefusedService:
 		return http.StatusConflict
+	case outcome.RefusedBusy:
+		return http.StatusTooManyRequests
 	}
 	return http.StatusServiceUnavailable
 }
--- /dev/null
+++ b/internal/fleet/peers/forward_test.go
@@ -0,0 +1,65 @@
+package peers_test
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"crocuswing/internal/fleet/member"
+	"crocuswing/internal/fleet/peers"
+	"crocuswing/internal/fleet/roster"
+	"crocuswing/internal/fleet/view"
+	"crocuswing/internal/order/desk"
+	"crocuswing/internal/order/outcome"
+	"crocuswing/internal/peer/server"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestForward tells a placement that was not sent from one that the owner may have acted upon.
+func TestForward(t *testing.T) {
+	answer := func(context.Context, []byte) (any, error) {
+		return outcome.Outcome{State: outcome.Done, Refusal: "r", NotForwarded: true}, nil
+	}
+	refuse := func(context.Context, []byte) (any, error) { return nil, context.DeadlineExceeded }
+	for _, c := range []struct {
+		name    string
+		owner   string
+		serve   bool
+		method  server.Method
+		unsent  bool
+		outcome outcome.Outcome
+	}{
+		{"answered", "south-2", true, answer, false, outcome.Outcome{State: outcome.Done, Refusal: "r", NotForwarded: true}},
+		{"not listed", "south-3", true, answer, true, outcome.Outcome{}},
+		{"no listener", "south-2", false, answer, true, outcome.Outcome{}},
+		{"refused", "south-2", true, refuse, false, outcome.Outcome{}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			zero := func() uint64 { return 0 }
+			s := server.New(map[string]server.Method{peers.MethodOrder: c.method}, zero, func(uint64) {})
+			if c.serve {
+				go func() { _ = s.Serve(l) }()
+			} else {
+				require.NoError(t, l.Close())
+			}
+			p := peers.New("south-1", zero, func(uint64) {})
+			p.Update(view.View{}.WithRoster(roster.New(1, []member.Member{
+				{Name: "south-2", Kind: member.KindInstance, Address: l.Addr().String()},
+			})))
+			o, err := p.Forward(t.Context(), c.owner, desk.Placement{})
+			var unsent *desk.UnsentError
+			if c.unsent {
+				require.ErrorAs(t, err, &unsent)
+			} else {
+				require.NotErrorAs(t, err, &unsent)
+			}
+			require.Equal(t, c.outcome, o)
+			require.Equal(t, c.outcome.State != "", err == nil)
+			p.Close()
+			s.Shutdown(t.Context())
+		})
+	}
+}
--- /dev/null
+++ b/internal/order/ticket/ticket_test.go
@@ -0,0 +1,97 @@
+package ticket_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"crocuswing/internal/order/ticket"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	key  = []byte("0123456789abcdef")
+	good = ticket.Ticket{Owner: "south-1", Incarnation: 7, Number: 3, EndMS: 120_000, Caller: "tablet", Service: "order-entry"}
+)
+
+func mint(tb testing.TB, t ticket.Ticket, k []byte) string {
+	text, err := ticket.Mint(t, k)
+	require.NoError(tb, err)
+	return text
+}
+
+func ExampleVerify() {
+	text, _ := ticket.Mint(good, key)
+	t, err := ticket.Verify(text, key, "tablet")
+	fmt.Println(t.Reference(), t.End(), err)
+	_, err = ticket.Verify(text, key, "another caller")
+	fmt.Println(err)
+	// Output:
+	// south-1/7/3 2m0s <nil>
+	// ticket: belongs to another caller
+}
+
+func TestVerifyRefuses(t *testing.T) {
+	text := mint(t, good, key)
+	for _, c := range []struct{ name, text, caller string }{
+		{"empty", "", "tablet"},
+		{"not base64", "?" + text[1:], "tablet"},
+		{"only a check value", text[:22], "tablet"},
+		{"shortened", text[:len(text)-4], "tablet"},
+		{"lengthened", text + "AAAA", "tablet"},
+		{"line break", text[:5] + "\n" + text[5:], "tablet"},
+		{"too long", strings.Repeat("A", ticket.MaxTextBytes+1), "tablet"},
+		{"other key", mint(t, good, []byte("fedcba9876543210")), "tablet"},
+		{"other caller", text, "other"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := ticket.Verify(c.text, key, c.caller)
+			var refused *ticket.Error
+			require.ErrorAs(t, err, &refused)
+		})
+	}
+}
+
+func TestMintRefusesLongNames(t *testing.T) {
+	long := good
+	long.Service = strings.Repeat("s", ticket.MaxTextBytes)
+	_, err := ticket.Mint(long, key)
+	var refused *ticket.Error
+	require.ErrorAs(t, err, &refused)
+}
+
+// FuzzVerify looks for a second text that passes for the one minted ticket.
+func FuzzVerify(f *testing.F) {
+	text := mint(f, good, key)
+	f.Add(text)
+	f.Add(text + "=")
+	f.Add("\r" + text)
+	for i := range text {
+		f.Add(text[:i] + "A" + text[i+1:])
+	}
+	f.Fuzz(func(t *testing.T, other string) {
+		got, err := ticket.Verify(other, key, "tablet")
+		if other == text {
+			require.NoError(t, err)
+			require.Equal(t, good, got)
+			return
+		}
+		require.Error(t, err)
+	})
+}
+
+func BenchmarkMint(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = ticket.Mint(good, key)
+	}
+}
+
+func BenchmarkVerify(b *testing.B) {
+	text := mint(b, good, key)
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = ticket.Verify(text, key, "tablet")
+	}
+}
--- a/internal/serve/instance/instance.go
+++ b/internal/serve/instance/instance.go
@@ -92,6 +92,7 @@
 	i.dispatcher = sender
 	i.runner = run.New(sender)
 	i.desk = desk.New(s.Instance, i.incarnation, []byte(s.TicketKey), sender, i.peers, i)
+	i.measureOrders()
 	return i
 }
 
--- /dev/null
+++ b/internal/serve/instance/order.go
@@ -0,0 +1,17 @@
+package instance
+
+import "crocuswing/internal/order/table"
+
+// measureOrders registers the metrics of the table of tickets.
+func (i *Instance) measureOrders() {
+	gauges := map[string]func(table.Stats) float64{
+		"crocuswing_tickets_held":          func(s table.Stats) float64 { return float64(s.Tickets) },
+		"crocuswing_tickets_running":       func(s table.Stats) float64 { return float64(s.Running) },
+		"crocuswing_tickets_bytes":         func(s table.Stats) float64 { return float64(s.Bytes) },
+		"crocuswing_tickets_refused_total": func(s table.Stats) float64 { return float64(s.Refused) },
+		"crocuswing_tickets_dropped_total": func(s table.Stats) float64 { return float64(s.Dropped) },
+	}
+	for name, read := range gauges {
+		i.metrics.Gauge(name, func() float64 { return read(i.desk.Stats()) })
+	}
+}
--- /dev/null
+++ b/internal/upstream/dispatch/order_test.go
@@ -0,0 +1,70 @@
+package dispatch_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"crocuswing/internal/config/set"
+	"crocuswing/internal/fleet/member"
+	"crocuswing/internal/fleet/roster"
+	"crocuswing/internal/fleet/view"
+	"crocuswing/internal/upstream/directory"
+	"crocuswing/internal/upstream/dispatch"
+	"crocuswing/internal/upstream/failure"
+	"crocuswing/internal/wire/header"
+	"crocuswing/internal/wire/order"
+
+	"github.com/stretchr/testify/require"
+)
+
+type fixed struct{ view.View }
+
+func (f fixed) Current() view.View { return f.View }
+
+// TestOrderStart gives up an order that gets no slot in time, while the one that holds the slot goes on.
+// The upstream is told the time to start and not the longer time for the answer.
+func TestOrderStart(t *testing.T) {
+	arrived, release := make(chan string, 1), make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrived <- r.Header.Get(header.DeadlineMS)
+		<-release
+		w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
+		_, _ = w.Write([]byte(`{"request-id": "1", "order-id": "o"}`))
+	}))
+	defer s.Close()
+	cfg, err := set.Parse(1, map[string][]byte{
+		"in-force": []byte(`{"preset": "p"}`),
+		"preset/p": []byte(`{"name": "p", "deadline-ms": 1000, "answer-policy": "coverage", "hedge-quantile": 0.95, "hedge-share": 0, "retry-share": 0}`),
+		"service/order-entry": []byte(`{"name": "order-entry", "kind": "order", "contract": {"slots": 1, "connections": 4, "cold-slots": 1, "warm-after": 1},
+			"layouts": [{"snapshot": "s1", "shards": [{"name": "0", "replicas": ["a"]}]}]}`),
+	})
+	require.NoError(t, err)
+	v := view.View{}.WithConfig(cfg).WithConfirmed(time.Now()).WithRoster(roster.New(1, []member.Member{
+		{Name: "a", Kind: member.KindUpstream, State: member.StateLive, Address: s.Listener.Addr().String()},
+		{Name: "south-1", Kind: member.KindInstance, State: member.StateLive, Address: "127.0.0.1:1"},
+	}))
+	dir := directory.New()
+	dir.Update(v, 1)
+	d := dispatch.New("south-1", fixed{v}, dir, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+	defer cancel()
+
+	first := make(chan error)
+	go func() {
+		_, err := d.Order(ctx, "a", order.Request{RequestID: "1"}.WithStartWithin(time.Minute))
+		first <- err
+	}()
+	told, err := strconv.Atoi(<-arrived)
+	require.NoError(t, err)
+	require.LessOrEqual(t, told, 60_000)
+	_, err = d.Order(ctx, "a", order.Request{RequestID: "2"}.WithStartWithin(time.Millisecond))
+	var f *failure.Failure
+	require.ErrorAs(t, err, &f)
+	require.True(t, f.NotRun)
+	close(release)
+	require.NoError(t, <-first)
+}
--- a/internal/upstream/link/link.go
+++ b/internal/upstream/link/link.go
@@ -47,7 +47,9 @@
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
-	return &Link{name: name, address: address, pool: pool, client: &http.Client{Transport: pool}}
+	// A redirect is an answer, not to be followed: it would run the request again.
+	stay := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Link{name: name, address: address, pool: pool, client: &http.Client{Transport: pool, CheckRedirect: stay}}
 }
 
 // Address is the upstream's address.
