--- a/internal/upstream/dispatch/order_test.go
+++ b/internal/upstream/dispatch/order_test.go
@@ -47,8 +47,8 @@
 		{Name: "a", Kind: member.KindUpstream, State: member.StateLive, Address: s.Listener.Addr().String()},
 		{Name: "south-1", Kind: member.KindInstance, State: member.StateLive, Address: "127.0.0.1:1"},
 	}))
-	dir := directory.New()
-	dir.Update(v, 1)
+	dir := directory.New("south-1")
+	dir.Update(v)
 	d := dispatch.New("south-1", fixed{v}, dir, nil)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
 	defer cancel()
