--- a/internal/upstream/directory/directory_test.go
+++ b/internal/upstream/directory/directory_test.go
@@ -31,7 +31,16 @@
 }
 
 // Close gives the connections back.
-func (l fakeLink) Close() { *l.open -= l.n }
+func (l *fakeLink) Close() { *l.open -= l.n }
+
+// SetShare changes the number of connections.
+func (l *fakeLink) SetShare(n int) {
+	*l.open += n - l.n
+	l.n = n
+}
+
+// SetLeaving does nothing.
+func (l *fakeLink) SetLeaving(bool) {}
 
 // world is the list of one moment.
 type world struct {
@@ -100,12 +109,12 @@
 	return f
 }
 
-func (f *fleet) dial(name, _ string, n int) directory.Link {
+func (f *fleet) dial(name, _ string, n int, _ func()) directory.Link {
 	if f.open[name] == nil {
 		f.open[name] = new(int)
 	}
 	*f.open[name] += n
-	return fakeLink{open: f.open[name], n: n}
+	return &fakeLink{open: f.open[name], n: n}
 }
 
 func names(from, to int) []string {
--- a/internal/upstream/target/target.go
+++ b/internal/upstream/target/target.go
@@ -13,6 +13,7 @@
 	"crocuswing/internal/upstream/limit"
 	"crocuswing/internal/upstream/queue"
 	"crocuswing/internal/upstream/signal"
+	"crocuswing/internal/upstream/start"
 	"crocuswing/internal/upstream/warmup"
 )
 
@@ -144,7 +145,7 @@
 		t.mu.Unlock()
 		return s, nil
 	}
-	deadline, _ := ctx.Deadline()
+	deadline, _ := start.Deadline(ctx)
 	load := queue.Load{Limit: t.allowed(now), Service: t.work.limit.Latency()}
 	w, err := t.work.queue.Enter(now, deadline, load)
 	t.mu.Unlock()
