--- a/internal/command/serve/serve.go
+++ b/internal/command/serve/serve.go
@@ -6,6 +6,9 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"crocuswing/internal/operator/log"
 	"crocuswing/internal/serve/instance"
@@ -33,7 +36,8 @@
 func (*Command) Usage() string {
 	return `crocuswing serve -settings FILE
 
-Runs one instance. SIGTERM or SIGINT begins a planned stop, which cuts off no request.
+Runs one instance. SIGTERM or SIGINT begins a planned stop, which cuts off no request. A second one
+cuts the stop short; the log then names the orders whose outcome is unknown.
 
 Example:
   crocuswing serve -settings /etc/crocuswing/south-1.json
@@ -57,9 +61,21 @@
 		_, _ = fmt.Fprintln(c.stderr, "crocuswing serve:", err)
 		return subcommands.ExitFailure
 	}
-	if err := instance.New(s, log.New(c.stderr, s.LogLevel)).Run(ctx); err != nil {
+	hurry, end := second(ctx)
+	defer end()
+	if err := instance.New(s, log.New(c.stderr, s.LogLevel), instance.WithHurry(hurry)).Run(ctx); err != nil {
 		_, _ = fmt.Fprintln(c.stderr, "crocuswing serve:", err)
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
+
+// second delivers the signals that arrive after ctx has ended.
+func second(ctx context.Context) (hurry <-chan os.Signal, end func()) {
+	signals := make(chan os.Signal, 1)
+	unregister := context.AfterFunc(ctx, func() { signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM) })
+	return signals, func() {
+		unregister()
+		signal.Stop(signals)
+	}
+}
--- a/internal/config/caller/caller.go
+++ b/internal/config/caller/caller.go
@@ -18,3 +18,6 @@
 	}
 	return nil
 }
+
+// Title is the name under which the value is published, after its kind.
+func (c Caller) Title() string { return c.Name }
--- a/internal/config/class/class.go
+++ b/internal/config/class/class.go
@@ -25,3 +25,6 @@
 	}
 	return nil
 }
+
+// Title is the name under which the value is published, after its kind.
+func (c Class) Title() string { return c.Name }
--- a/internal/config/domain/domain.go
+++ b/internal/config/domain/domain.go
@@ -18,3 +18,6 @@
 	}
 	return nil
 }
+
+// Title is the name under which the value is published, after its kind.
+func (d Domain) Title() string { return d.Name }
--- a/internal/config/preset/preset.go
+++ b/internal/config/preset/preset.go
@@ -69,3 +69,6 @@
 	}
 	return nil
 }
+
+// Title is the name under which the value is published, after its kind.
+func (p Preset) Title() string { return p.Name }
--- a/internal/config/service/service.go
+++ b/internal/config/service/service.go
@@ -52,3 +52,6 @@
 	}
 	return nil
 }
+
+// Title is the name under which the value is published, after its kind.
+func (s Service) Title() string { return s.Name }
--- a/internal/config/set/set.go
+++ b/internal/config/set/set.go
@@ -12,26 +12,43 @@
 	"crocuswing/internal/config/domain"
 	"crocuswing/internal/config/preset"
 	"crocuswing/internal/config/service"
-	"crocuswing/internal/settings/document"
+	"crocuswing/internal/config/trie"
 	"crocuswing/internal/wire/manifest"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // InForce is the name of the value that names the preset in force.
 const InForce = "in-force"
 
-// Set is an immutable revision of the configuration, checked as a whole.
+// Set is an immutable revision of the configuration, checked as a whole. Revisions share what they
+// have in common.
 type Set struct {
 	revision uint64
-	digest   uint64
+	digest   manifest.Digest
+	texts    trie.Trie[Text]
 	inForce  string
-	presets  map[string]preset.Preset
-	services map[string]service.Service
-	domains  map[string]domain.Domain
-	classes  map[string]class.Class
-	callers  map[string]caller.Caller
-	byKey    map[string]caller.Caller
+	presets  trie.Trie[preset.Preset]
+	services trie.Trie[service.Service]
+	domains  trie.Trie[domain.Domain]
+	classes  trie.Trie[class.Class]
+	callers  trie.Trie[caller.Caller]
+	byKey    trie.Trie[string] // name of a caller by its key
+	users    trie.Trie[int]    // number of callers by class
+	out      []string          // names of the domains that are out, sorted
+}
+
+// Text is the published content of one value.
+type Text struct {
+	Hash    string
+	Content []byte
+}
+
+// Change is what differs in a newer revision, by the names of the values.
+type Change struct {
+	Revision uint64
+	Values   map[string][]byte
+	Removed  []string
+	// Digest is that of the whole newer revision; empty means that it is not known.
+	Digest string
 }
 
 // Error names the value that makes a revision invalid.
@@ -49,137 +66,124 @@
 // Unwrap gives the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-type inForce struct {
-	Preset string `json:"preset"`
+// DigestError tells that a revision is not the one that was published: a part is missing or differs.
+type DigestError struct {
+	Revision  uint64
+	Want, Got string
 }
 
-type checker interface{ Check() error }
+// Error gives the revision and both digests.
+func (e *DigestError) Error() string {
+	return fmt.Sprintf("configuration revision %d: digest is %s, want %s", e.Revision, e.Got, e.Want)
+}
 
-// Parse makes a set from its values, by name. It fails with *Error.
+// Parse makes a set from all its values, by name. It fails with *Error.
 func Parse(revision uint64, values map[string][]byte) (Set, error) {
-	s := Set{
-		revision: revision,
-		presets:  make(map[string]preset.Preset),
-		services: make(map[string]service.Service),
-		domains:  make(map[string]domain.Domain),
-		classes:  make(map[string]class.Class),
-		callers:  make(map[string]caller.Caller),
-		byKey:    make(map[string]caller.Caller),
-	}
-	digest := xxhash.New()
-	for _, name := range slices.Sorted(maps.Keys(values)) {
-		if err := s.add(name, values[name]); err != nil {
-			return Set{}, &Error{Revision: revision, Value: name, Err: err}
-		}
-		_, _ = digest.WriteString(name + "=" + manifest.Hash(values[name]) + "\n")
-	}
-	s.digest = digest.Sum64()
-	return s, s.check()
+	return Set{}.Apply(Change{Revision: revision, Values: values})
 }
 
-func (s *Set) add(name string, text []byte) error {
-	doc, err := document.New(name, text)
-	if err != nil {
-		return err
+// Apply gives the newer revision that c makes of s, parsed and checked as a whole. Its cost is that
+// of the change. It fails with *Error or *DigestError.
+func (s Set) Apply(c Change) (Set, error) {
+	if c.Revision == 0 {
+		return Set{}, &Error{Value: "revision", Err: fmt.Errorf("want at least 1")}
 	}
-	kind, key, _ := strings.Cut(name, "/")
-	switch kind {
-	case InForce:
-		var v inForce
-		err = doc.Decode(&v)
-		s.inForce = v.Preset
-	case "preset":
-		err = addTo(doc, key, s.presets, func(p preset.Preset) string { return p.Name })
-	case "service":
-		err = addTo(doc, key, s.services, func(v service.Service) string { return v.Name })
-	case "domain":
-		err = addTo(doc, key, s.domains, func(d domain.Domain) string { return d.Name })
-	case "class":
-		err = addTo(doc, key, s.classes, func(c class.Class) string { return c.Name })
-	case "caller":
-		err = addTo(doc, key, s.callers, func(c caller.Caller) string { return c.Name })
-	default:
-		err = fmt.Errorf("unknown kind of value %q", kind)
+	next := s
+	next.revision = c.Revision
+	touched := newTouched()
+	for _, name := range c.Removed {
+		next.remove(name, touched)
 	}
-	return err
-}
-
-func addTo[T checker](doc document.Document, key string, values map[string]T, nameOf func(T) string) error {
-	var v T
-	if err := doc.Decode(&v); err != nil {
-		return err
+	names := slices.Sorted(maps.Keys(c.Values))
+	for _, name := range names {
+		next.remove(name, touched)
 	}
-	if err := v.Check(); err != nil {
-		return err
+	for _, name := range names {
+		if err := next.add(name, c.Values[name], touched); err != nil {
+			return Set{}, &Error{Revision: c.Revision, Value: name, Err: err}
+		}
 	}
-	if nameOf(v) != key {
-		return fmt.Errorf("its name is %q", nameOf(v))
+	if got := next.Digest(); c.Digest != "" && got != c.Digest {
+		return Set{}, &DigestError{Revision: c.Revision, Want: c.Digest, Got: got}
 	}
-	values[key] = v
-	return nil
+	if err := next.check(touched); err != nil {
+		return Set{}, err
+	}
+	return next, nil
 }
 
-func (s *Set) check() error {
-	if s.revision == 0 {
-		return &Error{Revision: s.revision, Value: "revision", Err: fmt.Errorf("want at least 1")}
+// Missing compares a manifest with s. It gives the entries whose content s lacks and the names that
+// s has and the manifest's revision has not.
+func (s Set) Missing(m manifest.Manifest) (entries []manifest.Entry, removed []string) {
+	named := make(map[string]bool, len(m.Entries))
+	for _, e := range m.Entries {
+		named[e.Name] = true
+		if t, ok := s.texts.Get(e.Name); !ok || t.Hash != e.Hash {
+			entries = append(entries, e)
+		}
 	}
-	if _, ok := s.presets[s.inForce]; !ok {
-		return &Error{Revision: s.revision, Value: InForce, Err: fmt.Errorf("names preset %q, which does not exist", s.inForce)}
+	if !m.IsWhole() {
+		return entries, m.Removed
 	}
-	for _, c := range s.callers {
-		if _, ok := s.classes[c.Class]; !ok {
-			return &Error{Revision: s.revision, Value: "caller/" + c.Name, Err: fmt.Errorf("class %q does not exist", c.Class)}
+	for name := range s.texts.All() {
+		if !named[name] {
+			removed = append(removed, name)
 		}
-		if other, ok := s.byKey[c.Key]; ok {
-			return &Error{Revision: s.revision, Value: "caller/" + c.Name, Err: fmt.Errorf("has the key of caller %q", other.Name)}
-		}
-		s.byKey[c.Key] = c
 	}
-	return nil
+	return entries, removed
 }
 
 // Revision is the number of the revision; 0 means that there is none yet.
 func (s Set) Revision() uint64 { return s.revision }
 
 // Digest is a hash over all names and contents.
-func (s Set) Digest() uint64 { return s.digest }
+func (s Set) Digest() string { return s.digest.String() }
+
+// Text finds the content of a value by name.
+func (s Set) Text(name string) (Text, bool) { return s.texts.Get(name) }
+
+// Names gives the names of all values, sorted.
+func (s Set) Names() []string {
+	names := make([]string, 0, s.texts.Len())
+	for name := range s.texts.All() {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
 
 // Preset is the preset in force.
-func (s Set) Preset() preset.Preset { return s.presets[s.inForce] }
+func (s Set) Preset() preset.Preset {
+	p, _ := s.presets.Get(s.inForce)
+	return p
+}
 
 // Service finds a service by name.
-func (s Set) Service(name string) (service.Service, bool) {
-	v, ok := s.services[name]
-	return v, ok
-}
+func (s Set) Service(name string) (service.Service, bool) { return s.services.Get(name) }
 
 // Services gives all services in the order of their names.
 func (s Set) Services() []service.Service {
-	names := slices.Sorted(maps.Keys(s.services))
-	all := make([]service.Service, 0, len(names))
-	for _, name := range names {
-		all = append(all, s.services[name])
+	all := make([]service.Service, 0, s.services.Len())
+	for _, v := range s.services.All() {
+		all = append(all, v)
 	}
+	slices.SortFunc(all, func(a, b service.Service) int { return strings.Compare(a.Name, b.Name) })
 	return all
 }
 
 // IsOut tells whether operators have taken the failure domain out.
-func (s Set) IsOut(failureDomain string) bool { return s.domains[failureDomain].Out }
+func (s Set) IsOut(failureDomain string) bool { return slices.Contains(s.out, failureDomain) }
 
 // DomainsOut gives the names of the failure domains that are out, sorted.
-func (s Set) DomainsOut() []string {
-	out := make([]string, 0)
-	for name, d := range s.domains {
-		if d.Out {
-			out = append(out, name)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
+func (s Set) DomainsOut() []string { return append(make([]string, 0, len(s.out)), s.out...) }
 
 // CallerByKey finds a caller and its class by the caller's key.
 func (s Set) CallerByKey(key string) (caller.Caller, class.Class, bool) {
-	c, ok := s.byKey[key]
-	return c, s.classes[c.Class], ok
+	name, ok := s.byKey.Get(key)
+	if !ok {
+		return caller.Caller{}, class.Class{}, false
+	}
+	c, _ := s.callers.Get(name)
+	cl, _ := s.classes.Get(c.Class)
+	return c, cl, true
 }
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -1,178 +1,263 @@
-// Package follower keeps the view up to date with what the platform publishes.
+// Package follower keeps the view up to date: a few instances of each failure domain watch the platform,
+// the others learn from them, and any contact that shows a newer revision is followed up.
 package follower
 
 import (
 	"context"
-	"errors"
+	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"crocuswing/internal/config/acceptance"
-	"crocuswing/internal/config/set"
-	"crocuswing/internal/fleet/roster"
+	"crocuswing/internal/fleet/contact"
+	"crocuswing/internal/fleet/member"
+	"crocuswing/internal/fleet/store"
 	"crocuswing/internal/fleet/view"
+	"crocuswing/internal/fleet/watcher"
+	"crocuswing/internal/wire/gossip"
 	"crocuswing/internal/wire/listing"
 	"crocuswing/internal/wire/manifest"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 )
 
 const (
-	watchWait   = time.Second
-	retryWait   = 200 * time.Millisecond
-	refreshWait = time.Second
+	watchWait     = time.Second            // of one watch of the platform
+	retryWait     = 500 * time.Millisecond // after a failed read
+	startWait     = 200 * time.Millisecond // between two tries to start
+	valueReads    = 1000                   // of the platform, a second, by all watchers
+	coalesceWait  = 500 * time.Millisecond // after a change, so that a burst is read in one
+	syncPeriod    = time.Second
+	syncTimeout   = 500 * time.Millisecond
+	loadTimeout   = 30 * time.Second
+	readTimeout   = time.Second // of a read without wait
+	refreshGrace  = 200 * time.Millisecond
+	refreshPeers  = 3
+	startTimeout  = 2 * time.Second
+	stepInAfter   = 2500 * time.Millisecond // silence after which an instance reads the platform itself
+	stepInJitter  = 750 * time.Millisecond
+	dutyPoll      = 250 * time.Millisecond
+	probeEvery    = 3 // syncs between two calls to a suspected peer
+	heardCapacity = 16
 )
 
-// Platform is what the follower reads.
+// Platform is what the follower reads. A watch that ends without change gives the platform's own number
+// and digest and takes the whole wait.
 type Platform interface {
 	Manifest(ctx context.Context, after uint64, wait time.Duration) (manifest.Manifest, bool, error)
 	Listing(ctx context.Context, after uint64, wait time.Duration) (listing.Listing, bool, error)
 	Value(ctx context.Context, hash string) ([]byte, error)
 }
 
-// Follower holds the present view. It is safe for concurrent use.
+// Peers calls other instances, known by their names or addresses.
+type Peers interface {
+	Sync(ctx context.Context, peer string, q gossip.Request) (gossip.Reply, error)
+	Page(ctx context.Context, peer string, q gossip.PageRequest) (gossip.Page, error)
+	Value(ctx context.Context, peer string, q gossip.ValueRequest) (gossip.Value, error)
+}
+
+// Follower keeps the present view. It is safe for concurrent use.
 type Follower struct {
-	platform   Platform
-	acceptance acceptance.Acceptance
-	log        *zap.Logger
-	changed    func(view.View)
+	self     member.Member
+	platform Platform
+	peers    Peers
+	seeds    []string
+	log      *zap.Logger
+	count    func(metric string)
+	store    *store.Store
+	contacts *contact.Contacts
+	heard    chan news
+	random   *rand.Rand // guarded by mu
+	refresh  singleflight.Group
+	stepIn   time.Duration
+	started  atomic.Bool
+	loading  atomic.Bool
+	leaving  atomic.Bool
 
-	mu      sync.Mutex
-	view    view.View
-	values  map[string][]byte // by hash, those of the configuration in force
-	configs time.Time         // last confirmation of the configuration
-	lists   time.Time         // last confirmation of the list
+	mu        sync.Mutex
+	failures  map[string]time.Time // of the platform, by what is read; absent while it can be read
+	stood     plan
+	values    map[string][]byte // read for a configuration that is not in force yet, by hash
+	nextValue time.Time         // before which no value is read
 }
 
-// New makes a follower; changed is told each new view, one at a time.
-func New(p Platform, log *zap.Logger, changed func(view.View)) *Follower {
-	return &Follower{platform: p, log: log, changed: changed, values: make(map[string][]byte)}
+// news tells that a peer has a higher revision; the name is empty if it is not known.
+type news struct {
+	peer     string
+	revision uint64
 }
 
-// Current is the present view.
-func (f *Follower) Current() view.View {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.view
+// plan is the watcher plan with the view that it was made from.
+type plan struct {
+	watcher.Plan
+	version uint64
+	avoided []string
+	made    bool
+}
+
+// Option changes how a follower is made.
+type Option func(*Follower)
+
+// WithSeeds asks the peers at the given addresses as long as the list names no instance.
+func WithSeeds(addresses []string) Option { return func(f *Follower) { f.seeds = addresses } }
+
+// WithCounter raises metrics by name.
+func WithCounter(count func(metric string)) Option { return func(f *Follower) { f.count = count } }
+
+// WithSeed fixes the sequence of random choices.
+func WithSeed(seed uint64) Option {
+	return func(f *Follower) { f.random = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// New makes a follower for the instance self; changed is told each new view, one at a time.
+func New(self member.Member, p Platform, peers Peers, c *contact.Contacts, log *zap.Logger,
+	changed func(view.View), options ...Option,
+) *Follower {
+	f := &Follower{
+		self:     self,
+		platform: p,
+		peers:    peers,
+		log:      log,
+		count:    func(string) {},
+		contacts: c,
+		heard:    make(chan news, heardCapacity),
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		failures: make(map[string]time.Time),
+		values:   make(map[string][]byte),
+	}
+	for _, o := range options {
+		o(f)
+	}
+	f.stepIn = stepInAfter + time.Duration(f.pick(int(stepInJitter)))
+	f.store = store.New(log, f.count, changed)
+	return f
 }
 
-// Run follows the platform until ctx ends.
+// Current is the present view, however old.
+func (f *Follower) Current() view.View { return f.store.Current() }
+
+// Store answers other instances.
+func (f *Follower) Store() *store.Store { return f.store }
+
+// Run follows platform and peers until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.start(ctx)
 	var duties sync.WaitGroup
-	duties.Go(func() { f.loop(ctx, "configuration", f.followConfig) })
-	duties.Go(func() { f.loop(ctx, "list", f.followList) })
+	duties.Go(func() { f.watch(ctx, f.followConfig) })
+	duties.Go(func() { f.watch(ctx, f.followList) })
+	duties.Go(func() { f.syncs(ctx) })
+	duties.Go(func() { f.listen(ctx) })
 	duties.Wait()
 }
 
-// Refresh reads the platform once. It fails if the platform cannot be read.
-func (f *Follower) Refresh(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, refreshWait)
-	defer cancel()
-	return errors.Join(f.followConfig(ctx, 0), f.followList(ctx, 0))
+// Heard is told the revision of a frame from a peer, whose name may be empty if it is not known.
+func (f *Follower) Heard(peer string, revision uint64) {
+	if revision <= f.Current().Config().Revision() {
+		return
+	}
+	select {
+	case f.heard <- news{peer: peer, revision: revision}:
+	default: // enough is waiting
+	}
 }
 
-func (f *Follower) loop(ctx context.Context, what string, follow func(context.Context, time.Duration) error) {
-	failing := false
-	for ctx.Err() == nil {
-		err := follow(ctx, watchWait)
-		if err == nil {
-			failing = false
-			continue
-		}
-		if !failing && ctx.Err() == nil {
-			f.log.Warn("platform cannot be followed", zap.String("what", what), zap.Error(err))
+// Answer answers a peer's sync, and follows up if the peer has more.
+func (f *Follower) Answer(q gossip.Request) gossip.Reply {
+	f.Heard(q.From, q.Revision)
+	r := f.store.Reply(q, time.Now())
+	r.Leaving = f.leaving.Load()
+	if failed := f.outage(); !failed.IsZero() {
+		own := gossip.AgeMS(time.Since(failed))
+		if r.OutageAgeMS < 0 || own < r.OutageAgeMS {
+			r.OutageAgeMS = own
 		}
-		failing = true
-		sleep(ctx, retryWait)
 	}
+	return r
 }
 
-func (f *Follower) followConfig(ctx context.Context, wait time.Duration) error {
-	m, changed, err := f.platform.Manifest(ctx, f.acceptance.Current().Revision(), wait)
-	if err != nil {
-		return err
-	}
-	if changed {
-		if err := f.acceptManifest(ctx, m); err != nil {
-			return err
-		}
-	}
-	f.confirm(func() { f.configs = time.Now() })
-	return nil
+// Leave tells peers that ask from now on that this instance leaves.
+func (f *Follower) Leave() { f.leaving.Store(true) }
+
+// Left notes that a peer leaves.
+func (f *Follower) Left(peer string) {
+	f.contacts.Left(peer)
+	f.judge()
 }
 
-func (f *Follower) acceptManifest(ctx context.Context, m manifest.Manifest) error {
-	values := make(map[string][]byte, len(m.Entries))
-	held := make(map[string][]byte, len(m.Entries))
-	for _, e := range m.Entries {
-		text, err := f.value(ctx, e.Hash)
-		if err != nil {
-			return err
+// Started tells whether platform and peers were asked for the newest view.
+func (f *Follower) Started() bool { return f.started.Load() }
+
+// Watches tells whether the instance reads the platform for others.
+func (f *Follower) Watches() bool { return f.plan().Watches() }
+
+// start asks platform and peers and takes the newest of what they have, until there is a view.
+func (f *Follower) start(ctx context.Context) {
+	for ctx.Err() == nil {
+		asked, cancel := context.WithTimeout(ctx, startTimeout)
+		f.ask(asked, func() bool { return false })
+		f.ask(asked, func() bool { return false }) // those peers that the list has named meanwhile
+		cancel()
+		if f.Current().IsFresh(time.Now()) {
+			f.started.Store(true)
+			return
 		}
-		values[e.Name] = text
-		held[e.Hash] = text
-	}
-	s, err := set.Parse(m.Revision, values)
-	if err != nil {
-		return err
+		sleep(ctx, startWait)
 	}
-	accepted, err := f.acceptance.Accept(s)
-	if err != nil || !accepted {
-		return err
-	}
-	f.log.Info("configuration in force", zap.Uint64("revision", s.Revision()), zap.String("preset", s.Preset().Name))
-	f.mu.Lock()
-	f.values = held
-	f.mu.Unlock()
-	f.replace(func(v view.View) view.View { return v.WithConfig(s) })
-	return nil
 }
 
-func (f *Follower) value(ctx context.Context, hash string) ([]byte, error) {
-	f.mu.Lock()
-	text, ok := f.values[hash]
-	f.mu.Unlock()
-	if ok {
-		return text, nil
+// listen follows up what frames have told of higher revisions.
+func (f *Follower) listen(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case n := <-f.heard:
+			switch {
+			case n.revision <= f.Current().Config().Revision(): // came meanwhile
+			case n.peer == "":
+				f.syncAny(ctx, nil)
+			default:
+				_ = f.sync(ctx, n.peer)
+			}
+		}
 	}
-	return f.platform.Value(ctx, hash)
 }
 
-func (f *Follower) followList(ctx context.Context, wait time.Duration) error {
-	l, changed, err := f.platform.Listing(ctx, f.Current().Roster().Version(), wait)
-	if err != nil {
-		return err
-	}
-	if changed {
-		f.replace(func(v view.View) view.View {
-			if l.Version <= v.Roster().Version() {
-				return v
-			}
-			return v.WithRoster(roster.New(l.Version, l.Members))
-		})
+// judge passes the judgement by contact on to the view.
+func (f *Follower) judge() {
+	if f.store.Avoid(f.contacts.Avoided()) {
+		f.log.Info("peers judged by contact", zap.Strings("avoided", f.contacts.Avoided()))
 	}
-	f.confirm(func() { f.lists = time.Now() })
-	return nil
 }
 
-// replace changes the view and tells it onward in order.
-func (f *Follower) replace(change func(view.View) view.View) {
+// plan gives the watcher plan of the present view.
+func (f *Follower) plan() watcher.Plan {
+	v := f.Current()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view = change(f.view)
-	f.changed(f.view)
+	if !f.stood.made || f.stood.version != v.Roster().Version() || !slices.Equal(f.stood.avoided, v.Avoided()) {
+		f.stood = plan{
+			Plan:    watcher.New(f.self, v.Listed(), v.Avoided()),
+			version: v.Roster().Version(),
+			avoided: v.Avoided(),
+			made:    true,
+		}
+	}
+	return f.stood.Plan
 }
 
-// confirm notes a contact; the view is as old as its older half.
-func (f *Follower) confirm(note func()) {
+// pick gives a random number from 0 to n-1.
+func (f *Follower) pick(n int) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	note()
-	older := f.configs
-	if f.lists.Before(older) {
-		older = f.lists
-	}
-	f.view = f.view.WithConfirmed(older)
+	return f.random.IntN(n)
+}
+
+// jitter spreads a period by a tenth to both sides.
+func (f *Follower) jitter(period time.Duration) time.Duration {
+	return period*9/10 + time.Duration(f.pick(int(period/5)))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -4,9 +4,12 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 
+	"crocuswing/internal/fleet/contact"
 	"crocuswing/internal/fleet/member"
+	"crocuswing/internal/fleet/roster"
 	"crocuswing/internal/fleet/view"
 	"crocuswing/internal/order/desk"
 	"crocuswing/internal/order/outcome"
@@ -26,49 +29,50 @@
 // Peers maps the names of instances to clients. It is safe for concurrent use.
 type Peers struct {
 	self     string
+	seeds    []string
 	revision func() uint64
-	heard    func(uint64)
+	heard    func(peer string, revision uint64)
+	contacts *contact.Contacts
 
 	mu      sync.Mutex
-	clients map[string]*client.Client
+	roster  roster.Roster
+	clients map[string]*client.Client // of the peers that were called
 }
 
 var errUnknownPeer = errors.New("instance is not listed")
 
-// New makes an empty set of peers for the instance self.
-func New(self string, revision func() uint64, heard func(uint64)) *Peers {
-	return &Peers{self: self, revision: revision, heard: heard, clients: make(map[string]*client.Client)}
+// New makes an empty set of peers for the instance self. Seeds are addresses that may be called before
+// the list is known; heard is told the revision of each frame that a peer answers with.
+func New(self string, seeds []string, c *contact.Contacts, revision func() uint64, heard func(string, uint64)) *Peers {
+	return &Peers{
+		self:     self,
+		seeds:    seeds,
+		revision: revision,
+		heard:    heard,
+		contacts: c,
+		clients:  make(map[string]*client.Client),
+	}
 }
 
-// Update follows the instances in v.
+// Update follows the instances in v: it closes the clients of those that are gone or have moved.
 func (p *Peers) Update(v view.View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	listed := make(map[string]bool)
-	for _, m := range v.Roster().Of(member.KindInstance) {
-		if m.Name == p.self {
-			continue
-		}
-		listed[m.Name] = true
-		p.set(m)
-	}
+	p.roster = v.Roster()
 	for name, c := range p.clients {
-		if !listed[name] {
+		if address, ok := p.address(name); !ok || address != c.Address() {
 			c.Close()
 			delete(p.clients, name)
 		}
 	}
 }
 
-func (p *Peers) set(m member.Member) {
-	old, ok := p.clients[m.Name]
-	if ok && old.Address() == m.Address {
-		return
+// address finds where to call a peer, by its name or as a seed.
+func (p *Peers) address(peer string) (string, bool) {
+	if m, ok := p.roster.Member(peer); ok && m.Kind == member.KindInstance && peer != p.self {
+		return m.Address, true
 	}
-	if ok {
-		old.Close()
-	}
-	p.clients[m.Name] = client.New(m.Address, p.revision, p.heard)
+	return peer, slices.Contains(p.seeds, peer)
 }
 
 // Close closes all clients.
@@ -82,12 +86,8 @@
 
 // Relay sends an attempt through another instance. It fails with *failure.Failure.
 func (p *Peers) Relay(ctx context.Context, instance string, q relay.Request) (relay.Reply, error) {
-	c, ok := p.client(instance)
-	if !ok {
-		return relay.Reply{}, &failure.Failure{Upstream: q.Upstream, Kind: failure.KindForbidden, NotRun: true, Err: errUnknownPeer}
-	}
 	var reply relay.Reply
-	err := c.Call(ctx, MethodRelay, q, &reply)
+	err := p.call(ctx, instance, MethodRelay, q, &reply)
 	if err == nil {
 		return reply, nil
 	}
@@ -100,21 +100,40 @@
 	return errors.As(err, &unsent) || errors.As(err, &refused)
 }
 
+// client gives the client of a listed instance or a seed; it is made at the first call.
 func (p *Peers) client(instance string) (*client.Client, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c, ok := p.clients[instance]
-	return c, ok
+	if c, ok := p.clients[instance]; ok {
+		return c, true
+	}
+	address, ok := p.address(instance)
+	if !ok {
+		return nil, false
+	}
+	c := client.New(address, p.revision, func(revision uint64) { p.heard(instance, revision) })
+	p.clients[instance] = c
+	return c, true
 }
 
-// Forward hands an order to the instance that owns its ticket. It fails only if no byte was sent.
-func (p *Peers) Forward(ctx context.Context, owner string, placement desk.Placement) (outcome.Outcome, error) {
-	c, ok := p.client(owner)
+// call calls a peer and judges it by whether the call could be sent.
+func (p *Peers) call(ctx context.Context, instance, method string, request, reply any) error {
+	c, ok := p.client(instance)
 	if !ok {
-		return outcome.Outcome{}, errUnknownPeer
+		return &client.UnsentError{Err: errUnknownPeer}
+	}
+	err := c.Call(ctx, method, request, reply)
+	var unsent *client.UnsentError
+	if errors.As(err, &unsent) && ctx.Err() == nil {
+		p.contacts.Failed(instance)
 	}
+	return err
+}
+
+// Forward hands an order to the instance that owns its ticket. It fails only if no byte was sent.
+func (p *Peers) Forward(ctx context.Context, owner string, placement desk.Placement) (outcome.Outcome, error) {
 	var o outcome.Outcome
-	err := c.Call(ctx, MethodOrder, placement, &o)
+	err := p.call(ctx, owner, MethodOrder, placement, &o)
 	var unsent *client.UnsentError
 	var refused *client.RefusedError
 	switch {
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -2,19 +2,23 @@
 package view
 
 import (
+	"slices"
 	"time"
 
 	"crocuswing/internal/config/set"
+	"crocuswing/internal/fleet/evidence"
 	"crocuswing/internal/fleet/member"
 	"crocuswing/internal/fleet/roster"
 )
 
-// View is an immutable configuration and list with the time of their last confirmation.
+// View is an immutable configuration and list with the evidence of how fresh they are.
 type View struct {
-	config    set.Set
-	roster    roster.Roster
-	confirmed time.Time
-	instances []string
+	config   set.Set
+	roster   roster.Roster
+	evidence evidence.Evidence
+	listed   []member.Member // instances that are not leaving, sorted by name
+	avoided  []string        // instances that contact has shown to be gone or leaving, sorted
+	usable   []string        // names of the listed instances that are not avoided, sorted
 }
 
 // Config is the configuration in force.
@@ -23,12 +27,18 @@
 // Roster is the last list read.
 func (v View) Roster() roster.Roster { return v.roster }
 
-// Age is the time since the view was last confirmed.
-func (v View) Age(now time.Time) time.Duration { return now.Sub(v.confirmed) }
+// Evidence tells how fresh the view is.
+func (v View) Evidence() evidence.Evidence { return v.evidence }
+
+// Age is the time since the platform last confirmed the view.
+func (v View) Age(now time.Time) time.Duration { return v.evidence.Age(now) }
 
 // IsComplete tells whether a configuration and a list have been read.
 func (v View) IsComplete() bool { return v.config.Revision() > 0 && v.roster.Version() > 0 }
 
+// IsFresh tells whether the view may begin new work at now.
+func (v View) IsFresh(now time.Time) bool { return v.IsComplete() && v.evidence.IsFresh(now) }
+
 // WithConfig gives a view with another configuration.
 func (v View) WithConfig(s set.Set) View {
 	v.config = s
@@ -38,21 +48,35 @@
 // WithRoster gives a view with another list.
 func (v View) WithRoster(r roster.Roster) View {
 	v.roster = r
-	v.instances = nil
-	for _, m := range r.Of(member.KindInstance) {
-		if m.State != member.StateLeaving {
-			v.instances = append(v.instances, m.Name)
+	v.listed = slices.DeleteFunc(r.Of(member.KindInstance), func(m member.Member) bool {
+		return m.State == member.StateLeaving
+	})
+	return v.WithAvoided(v.avoided)
+}
+
+// WithAvoided gives a view whose Instances lack the given ones.
+func (v View) WithAvoided(instances []string) View {
+	v.avoided = instances
+	v.usable = make([]string, 0, len(v.listed))
+	for _, m := range v.listed {
+		if !slices.Contains(instances, m.Name) {
+			v.usable = append(v.usable, m.Name)
 		}
 	}
 	return v
 }
 
-// WithConfirmed gives a view confirmed at now.
-func (v View) WithConfirmed(now time.Time) View {
-	v.confirmed = now
+// WithEvidence gives a view with other evidence.
+func (v View) WithEvidence(e evidence.Evidence) View {
+	v.evidence = e
 	return v
 }
 
+// WithConfirmed gives a view that the platform confirmed at the given moment.
+func (v View) WithConfirmed(at time.Time) View {
+	return v.WithEvidence(v.evidence.WithConfig(at).WithList(at))
+}
+
 // Permits tells whether new work may go to the named upstream:
 // it is listed, not leaving, and its failure domain is not out.
 func (v View) Permits(upstream string) bool {
@@ -63,5 +87,11 @@
 	return !v.config.IsOut(m.FailureDomain)
 }
 
-// Instances gives the names of the listed instances that are not leaving, sorted.
-func (v View) Instances() []string { return v.instances }
+// Instances gives the names of the listed instances that are neither leaving nor avoided, sorted.
+func (v View) Instances() []string { return v.usable }
+
+// Listed gives the listed instances that are not leaving, sorted by name.
+func (v View) Listed() []member.Member { return v.listed }
+
+// Avoided gives the names of the instances that contact has shown to be gone or leaving, sorted.
+func (v View) Avoided() []string { return v.avoided }
--- a/internal/platform/reader/reader.go
+++ b/internal/platform/reader/reader.go
@@ -15,6 +15,16 @@
 	"crocuswing/internal/wire/manifest"
 )
 
+// Headers of the platform's answers.
+const (
+	// HeaderNumber is the newest revision of the configuration or version of the list that the copy has.
+	HeaderNumber = "Platform-Number"
+	// HeaderDigest is the digest of that revision or version.
+	HeaderDigest = "Platform-Digest"
+	// HeaderHeldMS is the time for which the request was held, in whole milliseconds, rounded down.
+	HeaderHeldMS = "Platform-Held-Ms"
+)
+
 const (
 	maxValueBytes = 1 << 20
 	maxListBytes  = 64 << 20
@@ -38,6 +48,36 @@
 	return fmt.Sprintf("platform answered %d to %s", e.Status, e.Path)
 }
 
+// NumberError tells that header and body of one answer differ.
+type NumberError struct {
+	Path         string
+	Header, Body uint64
+}
+
+// Error gives path and numbers.
+func (e *NumberError) Error() string {
+	return fmt.Sprintf("platform answered %s with number %d in the header and %d in the body", e.Path, e.Header, e.Body)
+}
+
+// HeaderError tells that a header of the contract is missing or malformed.
+type HeaderError struct{ Path, Header, Value string }
+
+// Error gives path, header and value.
+func (e *HeaderError) Error() string {
+	return fmt.Sprintf("platform answered %s with %s: %q", e.Path, e.Header, e.Value)
+}
+
+// LengthError tells that an answer is longer than the contract allows.
+type LengthError struct {
+	Path string
+	Most int64 // bytes
+}
+
+// Error gives path and limit.
+func (e *LengthError) Error() string {
+	return fmt.Sprintf("platform answered %s with more than %d bytes", e.Path, e.Most)
+}
+
 // HashError tells that a value is not the one that the manifest names.
 type HashError struct{ Want, Got string }
 
@@ -49,64 +89,118 @@
 	return &Reader{base: "http://" + address, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
 }
 
-// Manifest waits until the revision is above after, for at most wait, and reports whether it is.
+// Manifest waits until the revision is above after, for at most wait, and reports
+// whether it is. If not, it gives the platform's revision and digest alone.
 func (r *Reader) Manifest(ctx context.Context, after uint64, wait time.Duration) (manifest.Manifest, bool, error) {
 	var m manifest.Manifest
-	changed, err := r.watch(ctx, "/v1/config", after, wait, &m)
-	return m, changed, err
+	s, err := r.watch(ctx, "/v1/config", after, wait, &m)
+	if err == nil && !s.changed {
+		m = manifest.Manifest{From: after, Revision: s.number, Digest: s.digest}
+	}
+	if err == nil && s.changed && m.Revision != s.number {
+		err = &NumberError{Path: "/v1/config", Header: s.number, Body: m.Revision}
+	}
+	m.Held = s.held
+	return m, s.changed, err
 }
 
 // Listing waits until the list's version is above after, for at most wait, and reports whether it is.
+// If not, it gives the platform's version and digest alone.
 func (r *Reader) Listing(ctx context.Context, after uint64, wait time.Duration) (listing.Listing, bool, error) {
 	var l listing.Listing
-	changed, err := r.watch(ctx, "/v1/members", after, wait, &l)
-	return l, changed, err
+	s, err := r.watch(ctx, "/v1/members", after, wait, &l)
+	if err == nil && !s.changed {
+		l = listing.Listing{From: after, Version: s.number, Digest: s.digest}
+	}
+	if err == nil && s.changed && l.Version != s.number {
+		err = &NumberError{Path: "/v1/members", Header: s.number, Body: l.Version}
+	}
+	l.Held = s.held
+	return l, s.changed, err
 }
 
 // Value reads the value with the given hash. It fails with *HashError if the platform gives another.
 func (r *Reader) Value(ctx context.Context, hash string) ([]byte, error) {
-	text, status, err := r.get(ctx, "/v1/config/values/"+url.PathEscape(hash), maxValueBytes)
+	a, err := r.get(ctx, "/v1/config/values/"+url.PathEscape(hash), maxValueBytes)
 	if err != nil {
 		return nil, err
 	}
-	if status != http.StatusOK {
-		return nil, &StatusError{Path: "values", Status: status}
+	if a.status != http.StatusOK {
+		return nil, &StatusError{Path: "/v1/config/values/" + hash, Status: a.status}
 	}
-	if got := manifest.Hash(text); got != hash {
+	if got := manifest.Hash(a.text); got != hash {
 		return nil, &HashError{Want: hash, Got: got}
 	}
-	return text, nil
+	return a.text, nil
+}
+
+// stand is what the headers of an answer tell.
+type stand struct {
+	changed bool
+	number  uint64
+	digest  string
+	held    time.Duration
 }
 
-func (r *Reader) watch(ctx context.Context, path string, after uint64, wait time.Duration, v any) (bool, error) {
+func (r *Reader) watch(ctx context.Context, path string, after uint64, wait time.Duration, v any) (stand, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+graceTime)
 	defer cancel()
 	query := url.Values{
 		"after":   {strconv.FormatUint(after, 10)},
 		"wait-ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
-	text, status, err := r.get(ctx, path+"?"+query.Encode(), maxListBytes)
-	switch {
-	case err != nil:
-		return false, err
-	case status == http.StatusNoContent:
-		return false, nil
-	case status != http.StatusOK:
-		return false, &StatusError{Path: path, Status: status}
+	asked := time.Now()
+	a, err := r.get(ctx, path+"?"+query.Encode(), maxListBytes)
+	if err != nil {
+		return stand{}, err
+	}
+	if a.status != http.StatusNoContent && a.status != http.StatusOK {
+		return stand{}, &StatusError{Path: path, Status: a.status}
+	}
+	s, err := standOf(path, a.header)
+	if err != nil {
+		return stand{}, err
+	}
+	s.held = min(s.held, time.Since(asked))
+	s.changed = a.status == http.StatusOK
+	if !s.changed {
+		return s, nil
 	}
-	return true, json.Unmarshal(text, v)
+	return s, json.Unmarshal(a.text, v)
 }
 
-func (r *Reader) get(ctx context.Context, path string, most int64) ([]byte, int, error) {
+func standOf(path string, h http.Header) (stand, error) {
+	number, err := strconv.ParseUint(h.Get(HeaderNumber), 10, 64)
+	if err != nil {
+		return stand{}, &HeaderError{Path: path, Header: HeaderNumber, Value: h.Get(HeaderNumber)}
+	}
+	held, err := strconv.ParseInt(h.Get(HeaderHeldMS), 10, 32)
+	if err != nil || held < 0 {
+		return stand{}, &HeaderError{Path: path, Header: HeaderHeldMS, Value: h.Get(HeaderHeldMS)}
+	}
+	return stand{number: number, digest: h.Get(HeaderDigest), held: time.Duration(held) * time.Millisecond}, nil
+}
+
+// answer is one answer of the platform, read whole.
+type answer struct {
+	status int
+	header http.Header
+	text   []byte
+}
+
+func (r *Reader) get(ctx context.Context, path string, most int64) (answer, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.base+path, nil)
 	if err != nil {
-		return nil, 0, err
+		return answer{}, err
 	}
 	resp, err := r.client.Do(req)
 	if err != nil {
-		return nil, 0, err
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
+	if err == nil && int64(len(text)) > most {
+		err = &LengthError{Path: path, Most: most}
 	}
-	defer func() { _ = resp.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, most))
-	return text, resp.StatusCode, err
+	return answer{status: resp.StatusCode, header: resp.Header, text: text}, err
 }
--- /dev/null
+++ b/internal/serve/instance/calls.go
@@ -0,0 +1,99 @@
+package instance
+
+import (
+	"context"
+	"errors"
+
+	"crocuswing/internal/fleet/peers"
+	"crocuswing/internal/order/desk"
+	"crocuswing/internal/order/table"
+	"crocuswing/internal/order/ticket"
+	"crocuswing/internal/peer/server"
+	"crocuswing/internal/wire/gossip"
+	"crocuswing/internal/wire/relay"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// methods are the calls that other instances may make.
+func (i *Instance) methods() map[string]server.Method {
+	return map[string]server.Method{
+		peers.MethodOrder:  i.placeForwarded,
+		peers.MethodRelay:  i.relay,
+		gossip.MethodSync:  i.sync,
+		gossip.MethodPage:  i.page,
+		gossip.MethodValue: i.value,
+		gossip.MethodLeave: i.left,
+	}
+}
+
+// relay runs an attempt that another instance sends through this one.
+func (i *Instance) relay(ctx context.Context, body []byte) (any, error) {
+	var q relay.Request
+	if err := msgpack.Unmarshal(body, &q); err != nil {
+		return nil, err
+	}
+	if (q.Part == nil) == (q.Order == nil) {
+		return nil, errors.New("want exactly one of part and order")
+	}
+	if _, err := i.Fresh(ctx); err != nil {
+		return nil, err
+	}
+	return i.dispatcher.Relayed(ctx, q), nil
+}
+
+// placeForwarded runs an order that another instance forwarded to the owner of its ticket.
+func (i *Instance) placeForwarded(ctx context.Context, body []byte) (any, error) {
+	var p desk.Placement
+	if err := msgpack.Unmarshal(body, &p); err != nil {
+		return nil, err
+	}
+	v, err := i.Fresh(ctx)
+	if err != nil {
+		return nil, err
+	}
+	o, err := i.desk.Place(ctx, v, p)
+	var badTicket *ticket.Error
+	var badOrder *table.Error
+	if errors.As(err, &badTicket) || errors.As(err, &badOrder) {
+		return nil, err
+	}
+	return o, err
+}
+
+// sync compares views with another instance.
+func (i *Instance) sync(_ context.Context, body []byte) (any, error) {
+	var q gossip.Request
+	if err := msgpack.Unmarshal(body, &q); err != nil {
+		return nil, err
+	}
+	return i.follower.Answer(q), nil
+}
+
+// page gives a part of the whole view.
+func (i *Instance) page(_ context.Context, body []byte) (any, error) {
+	var q gossip.PageRequest
+	if err := msgpack.Unmarshal(body, &q); err != nil {
+		return nil, err
+	}
+	return i.follower.Store().Page(q)
+}
+
+// value gives the content of one value.
+func (i *Instance) value(_ context.Context, body []byte) (any, error) {
+	var q gossip.ValueRequest
+	if err := msgpack.Unmarshal(body, &q); err != nil {
+		return nil, err
+	}
+	return i.follower.Store().Value(q)
+}
+
+// left notes that another instance leaves.
+func (i *Instance) left(_ context.Context, body []byte) (any, error) {
+	var q gossip.Leave
+	if err := msgpack.Unmarshal(body, &q); err != nil {
+		return nil, err
+	}
+	i.follower.Left(q.From)
+	return true, nil
+}
--- a/internal/serve/instance/instance.go
+++ b/internal/serve/instance/instance.go
@@ -7,38 +7,33 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	entry "crocuswing/internal/entry/handler"
+	"crocuswing/internal/fleet/contact"
 	"crocuswing/internal/fleet/follower"
 	"crocuswing/internal/fleet/member"
 	"crocuswing/internal/fleet/peers"
 	"crocuswing/internal/fleet/view"
 	operator "crocuswing/internal/operator/handler"
 	"crocuswing/internal/operator/metric"
-	"crocuswing/internal/operator/status"
 	"crocuswing/internal/order/desk"
-	"crocuswing/internal/order/table"
-	"crocuswing/internal/order/ticket"
 	"crocuswing/internal/peer/server"
 	"crocuswing/internal/platform/reader"
 	"crocuswing/internal/query/run"
+	"crocuswing/internal/serve/flight"
 	"crocuswing/internal/settings/process"
 	"crocuswing/internal/upstream/directory"
 	"crocuswing/internal/upstream/dispatch"
-	"crocuswing/internal/wire/relay"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
 
-const (
-	maxViewAge    = 2500 * time.Millisecond
-	finishTimeout = 30 * time.Second
-	headerTimeout = 5 * time.Second
-)
+const headerTimeout = 5 * time.Second
 
 // Instance is one running instance.
 type Instance struct {
@@ -54,7 +49,11 @@
 	runner     *run.Runner
 	desk       *desk.Desk
 	metrics    *metric.Metrics
+	contacts   *contact.Contacts
+	flight     *flight.Flight
 	stopping   atomic.Bool
+	hurry      <-chan os.Signal
+	out        []string // failure domains that are out, as of the last update
 }
 
 // Listeners are the open sockets of an instance.
@@ -70,11 +69,10 @@
 	return func(i *Instance) { i.listeners = l }
 }
 
-// NotReadyError refuses a request because the view is missing or too old.
-type NotReadyError struct{ Reason string }
-
-// Error gives the reason.
-func (e *NotReadyError) Error() string { return "instance is not ready: " + e.Reason }
+// WithHurry cuts a planned stop short when hurry is closed or receives.
+func WithHurry(hurry <-chan os.Signal) Option {
+	return func(i *Instance) { i.hurry = hurry }
+}
 
 // New assembles an instance; nothing runs yet.
 func New(s process.Settings, log *zap.Logger, options ...Option) *Instance {
@@ -84,17 +82,27 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		directory:   directory.New(),
 		metrics:     metric.New(),
+		contacts:    contact.New(),
+		flight:      flight.New(),
 	}
 	for _, o := range options {
 		o(i)
 	}
-	i.follower = follower.New(reader.New(s.PlatformAddress), i.log, i.update)
-	i.peers = peers.New(s.Instance, i.revision, i.heard)
+	i.assemble()
+	i.gauges()
+	return i
+}
+
+func (i *Instance) assemble() {
+	s := i.settings
+	self := member.Member{Name: s.Instance, Kind: member.KindInstance, FailureDomain: s.FailureDomain, Region: s.Region}
+	i.peers = peers.New(s.Instance, s.Peers, i.contacts, i.revision, i.heardFrom)
+	i.follower = follower.New(self, reader.New(s.PlatformAddress), i.peers, i.contacts, i.log, i.update,
+		follower.WithSeeds(s.Peers), follower.WithCounter(i.metrics.Count))
 	sender := dispatch.New(s.Instance, i.follower, i.directory, i.peers)
 	i.dispatcher = sender
 	i.runner = run.New(sender)
-	i.desk = desk.New(s.Instance, i.incarnation, []byte(s.TicketKey), sender, i.peers)
-	return i
+	i.desk = desk.New(s.Instance, i.incarnation, []byte(s.TicketKey), i.flight.Sender(sender), i.peers)
 }
 
 // Run serves until ctx ends, then finishes what is in flight and returns nil.
@@ -103,15 +111,13 @@
 		return err
 	}
 	i.log.Info("instance starts", zap.Uint64("incarnation", i.incarnation))
-	background, stop := context.WithCancel(context.Background())
-	defer stop()
+	background, end := context.WithCancel(context.Background())
+	defer end()
 	prefix := fmt.Sprintf("%s-%x", i.settings.Instance, i.incarnation)
-	callers := &http.Server{Handler: entry.New(i, i.runner, i.desk, i.metrics, prefix), ReadHeaderTimeout: headerTimeout}
+	handler := i.flight.Handler(entry.New(i, i.runner, i.desk, i.metrics, prefix))
+	callers := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	operators := &http.Server{Handler: operator.New(i, i.metrics), ReadHeaderTimeout: headerTimeout}
-	peerCalls := server.New(map[string]server.Method{
-		peers.MethodOrder: i.placeForwarded,
-		peers.MethodRelay: i.relay,
-	}, i.revision, i.heard)
+	peerCalls := server.New(i.methods(), i.revision, i.heard)
 
 	var group errgroup.Group
 	group.Go(func() error { i.follower.Run(background); return nil })
@@ -120,128 +126,35 @@
 	group.Go(func() error { return peerCalls.Serve(i.listeners.Peer) })
 	<-ctx.Done()
 	i.stop(callers, peerCalls)
-	stop()
+	end()
 	_ = operators.Close()
 	err := group.Wait()
 	i.log.Info("instance stopped", zap.Error(err))
 	return err
 }
 
-// stop serves on through the balancer's lag, then finishes what is in flight.
-func (i *Instance) stop(callers *http.Server, peerCalls *server.Server) {
-	i.stopping.Store(true)
-	i.log.Info("instance drains", zap.Int("delay-ms", i.settings.DrainDelayMS))
-	time.Sleep(time.Duration(i.settings.DrainDelayMS) * time.Millisecond)
-	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		i.log.Error("requests were cut off", zap.Error(err))
-	}
-	peerCalls.Shutdown(ctx)
-	i.desk.Wait(ctx)
-	i.peers.Close()
-}
-
 // Fresh gives a view that was confirmed recently enough for new work.
-func (i *Instance) Fresh(ctx context.Context) (view.View, error) {
-	v := i.follower.Current()
-	if v.IsComplete() && v.Age(time.Now()) <= maxViewAge {
-		return v, nil
-	}
-	if err := i.follower.Refresh(ctx); err != nil {
-		return view.View{}, &NotReadyError{Reason: err.Error()}
-	}
-	v = i.follower.Current()
-	if !v.IsComplete() {
-		return view.View{}, &NotReadyError{Reason: "no configuration or list was read yet"}
-	}
-	return v, nil
-}
-
-// Status describes the instance for operators.
-func (i *Instance) Status() status.Status {
-	v := i.follower.Current()
-	first, extra := i.runner.Attempts()
-	s := status.Status{
-		Instance:      i.settings.Instance,
-		Incarnation:   fmt.Sprintf("%x", i.incarnation),
-		FailureDomain: i.settings.FailureDomain,
-		Revision:      v.Config().Revision(),
-		Preset:        v.Config().Preset().Name,
-		DomainsOut:    v.Config().DomainsOut(),
-		ViewAgeMS:     v.Age(time.Now()).Milliseconds(),
-		ListVersion:   v.Roster().Version(),
-		Tickets:       i.desk.Tickets(),
-		FirstAttempts: first,
-		ExtraAttempts: extra,
-		Cold:          make([]string, 0),
-	}
-	for _, t := range i.directory.Targets() {
-		s.Upstreams++
-		if t.IsCold() {
-			s.Cold = append(s.Cold, t.Name())
-		}
-	}
-	s.NotReadyReason = i.notReadyReason(v)
-	s.Ready = s.NotReadyReason == ""
-	return s
-}
-
-func (i *Instance) notReadyReason(v view.View) string {
-	switch {
-	case i.stopping.Load():
-		return "the instance stops"
-	case !v.IsComplete():
-		return "no configuration or list was read yet"
-	case v.Age(time.Now()) > maxViewAge:
-		return "the view is too old"
-	}
-	return ""
-}
+func (i *Instance) Fresh(ctx context.Context) (view.View, error) { return i.follower.Fresh(ctx) }
 
+// update passes a new view on. The upstreams of a failure domain that is back start cold.
 func (i *Instance) update(v view.View) {
 	homes := len(v.Roster().Of(member.KindInstance))
 	i.directory.Update(v, homes)
 	i.peers.Update(v)
+	out := v.Config().DomainsOut()
+	returned := slices.DeleteFunc(i.out, func(name string) bool { return slices.Contains(out, name) })
+	i.out = out
+	if len(returned) > 0 {
+		i.log.Info("failure domains return", zap.Strings("failure-domains", returned))
+		i.directory.Cool(v, returned)
+	}
 }
 
 func (i *Instance) revision() uint64 { return i.follower.Current().Config().Revision() }
 
-func (i *Instance) heard(uint64) {}
+func (i *Instance) heard(revision uint64) { i.heardFrom("", revision) }
 
-// relay runs an attempt that another instance sends through this one.
-func (i *Instance) relay(ctx context.Context, body []byte) (any, error) {
-	var q relay.Request
-	if err := msgpack.Unmarshal(body, &q); err != nil {
-		return nil, err
-	}
-	if (q.Part == nil) == (q.Order == nil) {
-		return nil, errors.New("want exactly one of part and order")
-	}
-	if _, err := i.Fresh(ctx); err != nil {
-		return nil, err
-	}
-	return i.dispatcher.Relayed(ctx, q), nil
-}
-
-// placeForwarded runs an order that another instance forwarded to the owner of its ticket.
-func (i *Instance) placeForwarded(ctx context.Context, body []byte) (any, error) {
-	var p desk.Placement
-	if err := msgpack.Unmarshal(body, &p); err != nil {
-		return nil, err
-	}
-	v, err := i.Fresh(ctx)
-	if err != nil {
-		return nil, err
-	}
-	o, err := i.desk.Place(ctx, v, p)
-	var badTicket *ticket.Error
-	var badOrder *table.Error
-	if errors.As(err, &badTicket) || errors.As(err, &badOrder) {
-		return nil, err
-	}
-	return o, err
-}
+func (i *Instance) heardFrom(peer string, revision uint64) { i.follower.Heard(peer, revision) }
 
 func (i *Instance) listen() error {
 	if i.listeners.Caller != nil {
--- /dev/null
+++ b/internal/serve/instance/status.go
@@ -0,0 +1,86 @@
+package instance
+
+import (
+	"fmt"
+	"time"
+
+	"crocuswing/internal/fleet/evidence"
+	"crocuswing/internal/operator/status"
+)
+
+// Status describes the instance for operators.
+func (i *Instance) Status() status.Status {
+	v := i.follower.Current()
+	now := time.Now()
+	first, extra := i.runner.Attempts()
+	s := status.Status{
+		Instance:        i.settings.Instance,
+		Incarnation:     fmt.Sprintf("%x", i.incarnation),
+		FailureDomain:   i.settings.FailureDomain,
+		Revision:        v.Config().Revision(),
+		Digest:          v.Config().Digest(),
+		Preset:          v.Config().Preset().Name,
+		DomainsOut:      v.Config().DomainsOut(),
+		ViewAgeMS:       status.AgeMS(v.Age(now)),
+		OutageAgeMS:     status.AgeMS(evidence.Since(now, v.Evidence().Outage())),
+		Watcher:         i.follower.Watches(),
+		PlatformFailing: i.follower.PlatformFailing(),
+		ListVersion:     v.Roster().Version(),
+		Peers:           i.peerStatus(now),
+		Tickets:         i.desk.Tickets(),
+		FirstAttempts:   first,
+		ExtraAttempts:   extra,
+		InFlight:        i.flight.Requests(),
+		Cold:            make([]string, 0),
+	}
+	for _, t := range i.directory.Targets() {
+		s.Upstreams++
+		if t.IsCold() {
+			s.Cold = append(s.Cold, t.Name())
+		}
+	}
+	s.NotReadyReason = i.notReadyReason()
+	s.Ready = s.NotReadyReason == ""
+	return s
+}
+
+func (i *Instance) notReadyReason() string {
+	if i.stopping.Load() {
+		return "the instance stops"
+	}
+	return i.follower.Reason()
+}
+
+// peerStatus describes the peers that were called.
+func (i *Instance) peerStatus(now time.Time) []status.Peer {
+	known := i.contacts.Peers()
+	all := make([]status.Peer, 0, len(known))
+	for _, p := range known {
+		all = append(all, status.Peer{
+			Instance:     p.Name,
+			Revision:     p.Revision,
+			ContactAgeMS: status.AgeMS(evidence.Since(now, p.Answered)),
+			Suspected:    p.Suspected,
+			Leaving:      p.Leaving,
+		})
+	}
+	return all
+}
+
+// gauges shows the view in the metrics.
+func (i *Instance) gauges() {
+	i.metrics.Gauge("crocuswing_config_revision", func() float64 { return float64(i.revision()) })
+	i.metrics.Gauge("crocuswing_list_version", func() float64 { return float64(i.follower.Current().Roster().Version()) })
+	i.metrics.Gauge("crocuswing_view_age_seconds", func() float64 { return i.follower.Current().Age(time.Now()).Seconds() })
+	i.metrics.Gauge("crocuswing_ready", func() float64 { return asGauge(i.notReadyReason() == "") })
+	i.metrics.Gauge("crocuswing_watcher", func() float64 { return asGauge(i.follower.Watches()) })
+	i.metrics.Gauge("crocuswing_domains_out", func() float64 { return float64(len(i.follower.Current().Config().DomainsOut())) })
+	i.metrics.Gauge("crocuswing_peers_avoided", func() float64 { return float64(len(i.follower.Current().Avoided())) })
+}
+
+func asGauge(yes bool) float64 {
+	if yes {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/serve/instance/stop.go
@@ -0,0 +1,64 @@
+package instance
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"crocuswing/internal/peer/server"
+
+	"go.uber.org/zap"
+)
+
+const (
+	finishTimeout = 30 * time.Second
+	hurryGrace    = time.Second // for what can still be told after the stop was cut short
+)
+
+// stop serves on through the balancer's lag, then finishes what is in flight: first the requests of
+// callers, then the work of other instances and the orders.
+func (i *Instance) stop(callers *http.Server, peerCalls *server.Server) {
+	i.stopping.Store(true)
+	i.follower.Leave()
+	i.flight.Leave()
+	i.log.Info("instance drains", zap.Int("delay-ms", i.settings.DrainDelayMS))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	finished := make(chan struct{})
+	go func() {
+		select {
+		case <-i.hurry:
+			i.logLost("stop is cut short")
+			cancel()
+		case <-finished:
+		}
+	}()
+	defer close(finished)
+
+	i.drain(ctx)
+	ctx, end := context.WithTimeout(ctx, finishTimeout)
+	defer end()
+	if err := callers.Shutdown(ctx); err != nil {
+		i.logLost("requests were cut off")
+		_ = callers.Close()
+	}
+	i.desk.Wait(ctx)
+	peerCalls.Shutdown(ctx)
+	if orders := i.flight.Orders(); len(orders) > 0 {
+		i.logLost("orders were cut off")
+	}
+	i.peers.Close()
+}
+
+// drain tells the other instances and lets the balancer notice; requests are served meanwhile.
+func (i *Instance) drain(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(i.settings.DrainDelayMS)*time.Millisecond)
+	defer cancel()
+	i.peers.Leave(ctx, i.follower.Current().Instances())
+	<-ctx.Done()
+}
+
+// logLost names the outcomes that nobody will learn any more.
+func (i *Instance) logLost(reason string) {
+	i.log.Error(reason, zap.Int("requests", i.flight.Requests()), zap.Strings("orders-unknown", i.flight.Orders()))
+}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -2,21 +2,20 @@
 package platform
 
 import (
-	"encoding/json"
-	"maps"
 	"net/http"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
+	"crocuswing/internal/fleet/history"
 	"crocuswing/internal/fleet/member"
 	"crocuswing/internal/wire/listing"
 	"crocuswing/internal/wire/manifest"
 )
 
-const maxWait = 30 * time.Second
+const (
+	maxWait        = 30 * time.Second
+	maxInlineBytes = 4 << 10 // content of a changed value that comes with the change
+)
 
 // Platform serves published values and members over HTTP. It is safe for concurrent use.
 type Platform struct {
@@ -26,8 +25,12 @@
 	revision uint64
 	names    map[string]string // name of a value to the hash of its content
 	contents map[string][]byte // by hash; old ones stay readable
+	digest   manifest.Digest
+	configs  history.History
 	version  uint64
 	members  map[string]member.Member
+	listed   manifest.Digest
+	lists    history.History
 	changed  chan struct{} // closed at each change
 	down     bool
 	reads    int
@@ -53,35 +56,52 @@
 func (p *Platform) Publish(values map[string]string) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	change := history.Change{From: p.revision, To: p.revision + 1}
 	for name, text := range values {
-		if text == "" {
-			delete(p.names, name)
-			continue
-		}
-		hash := manifest.Hash([]byte(text))
-		p.names[name] = hash
-		p.contents[hash] = []byte(text)
+		change.Items = append(change.Items, p.put(name, text))
 	}
 	p.revision++
+	p.configs = p.configs.With(change)
 	p.notify()
 	return p.revision
 }
 
-// SetMember adds a member to the list or changes it.
-func (p *Platform) SetMember(m member.Member) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.members[m.Name] = m
-	p.version++
-	p.notify()
+// put replaces one value and gives what it was before.
+func (p *Platform) put(name, text string) history.Item {
+	old, ok := p.names[name]
+	if ok {
+		p.digest = p.digest.Without(name, old)
+		delete(p.names, name)
+	}
+	if text != "" {
+		hash := manifest.Hash([]byte(text))
+		p.names[name] = hash
+		p.contents[hash] = []byte(text)
+		p.digest = p.digest.With(name, hash)
+	}
+	return history.Item{Name: name, Hash: old, Before: p.contents[old]}
 }
 
+// SetMember adds a member to the list or changes it.
+func (p *Platform) SetMember(m member.Member) { p.setMember(m.Name, &m) }
+
 // RemoveMember takes a member off the list.
-func (p *Platform) RemoveMember(name string) {
+func (p *Platform) RemoveMember(name string) { p.setMember(name, nil) }
+
+func (p *Platform) setMember(name string, m *member.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.members, name)
+	if old, ok := p.members[name]; ok {
+		p.listed = p.listed.Without(name, listing.Hash(old))
+		delete(p.members, name)
+	}
+	if m != nil {
+		p.members[name] = *m
+		p.listed = p.listed.With(name, listing.Hash(*m))
+	}
+	change := history.Change{From: p.version, To: p.version + 1, Items: []history.Item{{Name: name}}}
 	p.version++
+	p.lists = p.lists.With(change)
 	p.notify()
 }
 
@@ -101,86 +121,9 @@
 }
 
 // ServeHTTP answers one read.
-func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	p.mu.Lock()
-	p.reads++
-	down := p.down
-	p.mu.Unlock()
-	if down {
-		http.Error(w, "platform is down", http.StatusServiceUnavailable)
-		return
-	}
-	p.mux.ServeHTTP(w, r)
-}
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
 
 func (p *Platform) notify() {
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
-
-func (p *Platform) serveManifest(w http.ResponseWriter, r *http.Request) {
-	p.serveWatch(w, r, func(after uint64) (any, bool) {
-		if p.revision <= after {
-			return nil, false
-		}
-		m := manifest.Manifest{Revision: p.revision}
-		for _, name := range slices.Sorted(maps.Keys(p.names)) {
-			m.Entries = append(m.Entries, manifest.Entry{Name: name, Hash: p.names[name]})
-		}
-		return m, true
-	})
-}
-
-func (p *Platform) serveMembers(w http.ResponseWriter, r *http.Request) {
-	p.serveWatch(w, r, func(after uint64) (any, bool) {
-		if p.version <= after {
-			return nil, false
-		}
-		members := slices.SortedFunc(maps.Values(p.members), func(a, b member.Member) int {
-			return strings.Compare(a.Name, b.Name)
-		})
-		return listing.Listing{Version: p.version, Members: members}, true
-	})
-}
-
-func (p *Platform) serveValue(w http.ResponseWriter, r *http.Request) {
-	p.mu.Lock()
-	text, ok := p.contents[r.PathValue("hash")]
-	p.mu.Unlock()
-	if !ok {
-		http.NotFound(w, r)
-		return
-	}
-	_, _ = w.Write(text)
-}
-
-// serveWatch answers when read reports a change, or with 204 when the wait ends first.
-func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request, read func(after uint64) (any, bool)) {
-	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	waitMS, _ := strconv.Atoi(r.URL.Query().Get("wait-ms"))
-	timer := time.NewTimer(min(time.Duration(waitMS)*time.Millisecond, maxWait))
-	defer timer.Stop()
-	for {
-		p.mu.Lock()
-		v, ok := read(after)
-		changed, down := p.changed, p.down
-		p.mu.Unlock()
-		if down {
-			http.Error(w, "platform is down", http.StatusServiceUnavailable)
-			return
-		}
-		if ok {
-			w.Header().Set("Content-Type", "application/json")
-			_ = json.NewEncoder(w).Encode(v)
-			return
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			w.WriteHeader(http.StatusNoContent)
-			return
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
--- /dev/null
+++ b/internal/standin/platform/read.go
@@ -0,0 +1,207 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"crocuswing/internal/fleet/member"
+	"crocuswing/internal/platform/reader"
+	"crocuswing/internal/wire/listing"
+	"crocuswing/internal/wire/manifest"
+	"crocuswing/internal/wire/patch"
+)
+
+// ErrDown is the error of all reads while the platform is down.
+var ErrDown = errors.New("platform is down")
+
+// ErrMissing is the error of a read of a value that was never published.
+var ErrMissing = errors.New("there is no such value")
+
+// Manifest answers a watch of the configuration.
+func (p *Platform) Manifest(ctx context.Context, after uint64, wait time.Duration) (manifest.Manifest, bool, error) {
+	var m manifest.Manifest
+	held, changed, err := p.hold(ctx, wait, func() bool {
+		m = p.manifest(after)
+		return p.revision > after
+	})
+	m.Held = held
+	return m, changed, err
+}
+
+// Listing answers a watch of the list.
+func (p *Platform) Listing(ctx context.Context, after uint64, wait time.Duration) (listing.Listing, bool, error) {
+	var l listing.Listing
+	held, changed, err := p.hold(ctx, wait, func() bool {
+		l = p.listing(after)
+		return p.version > after
+	})
+	l.Held = held
+	return l, changed, err
+}
+
+// Value answers a read of one value.
+func (p *Platform) Value(_ context.Context, hash string) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reads++
+	if p.down {
+		return nil, ErrDown
+	}
+	text, ok := p.contents[hash]
+	if !ok {
+		return nil, ErrMissing
+	}
+	return text, nil
+}
+
+// manifest gives what changed since after, if that is known, else the whole; no entries if nothing changed.
+func (p *Platform) manifest(after uint64) manifest.Manifest {
+	m := manifest.Manifest{Revision: p.revision, Digest: p.digest.String()}
+	if p.revision <= after {
+		m.From = after
+		return m
+	}
+	items, ok := p.configs.Since(after)
+	if !ok {
+		for _, name := range slices.Sorted(maps.Keys(p.names)) {
+			m.Entries = append(m.Entries, manifest.Entry{Name: name, Hash: p.names[name]})
+		}
+		return m
+	}
+	m.From = after
+	for _, item := range items {
+		hash, ok := p.names[item.Name]
+		if !ok {
+			m.Removed = append(m.Removed, item.Name)
+			continue
+		}
+		m.Entries = append(m.Entries, p.entry(item.Name, hash, item.Hash))
+	}
+	return m
+}
+
+func (p *Platform) entry(name, hash, base string) manifest.Entry {
+	e := manifest.Entry{Name: name, Hash: hash}
+	content := p.contents[hash]
+	if base != "" {
+		if change := patch.New(base, p.contents[base], content); len(change.Middle) <= maxInlineBytes {
+			e.Patch = &change
+			return e
+		}
+	}
+	if len(content) <= maxInlineBytes {
+		e.Value = string(content)
+	}
+	return e
+}
+
+// listing gives what changed since after, if that is known, else the whole; no members if nothing changed.
+func (p *Platform) listing(after uint64) listing.Listing {
+	l := listing.Listing{Version: p.version, Digest: p.listed.String()}
+	if p.version <= after {
+		l.From = after
+		return l
+	}
+	items, ok := p.lists.Since(after)
+	if !ok {
+		l.Members = slices.SortedFunc(maps.Values(p.members), func(a, b member.Member) int {
+			return strings.Compare(a.Name, b.Name)
+		})
+		return l
+	}
+	l.From = after
+	for _, item := range items {
+		if m, ok := p.members[item.Name]; ok {
+			l.Members = append(l.Members, m)
+		} else {
+			l.Removed = append(l.Removed, item.Name)
+		}
+	}
+	return l
+}
+
+// hold waits until read reports a change, which it does under the lock, for at most wait.
+func (p *Platform) hold(ctx context.Context, wait time.Duration, read func() bool) (time.Duration, bool, error) {
+	start := time.Now()
+	timer := time.NewTimer(min(wait, maxWait))
+	defer timer.Stop()
+	p.mu.Lock()
+	p.reads++
+	p.mu.Unlock()
+	for ended := wait <= 0; ; {
+		p.mu.Lock()
+		changed, notify, down := read(), p.changed, p.down
+		p.mu.Unlock()
+		switch {
+		case down:
+			return 0, false, ErrDown
+		case changed || ended:
+			return time.Since(start), changed, nil
+		}
+		select {
+		case <-notify:
+		case <-timer.C:
+			ended = true
+		case <-ctx.Done():
+			return 0, false, ctx.Err()
+		}
+	}
+}
+
+func (p *Platform) serveManifest(w http.ResponseWriter, r *http.Request) {
+	after, wait := watchOf(r)
+	m, changed, err := p.Manifest(r.Context(), after, wait)
+	answer(w, m.Revision, m.Digest, m.Held, m, changed, err)
+}
+
+func (p *Platform) serveMembers(w http.ResponseWriter, r *http.Request) {
+	after, wait := watchOf(r)
+	l, changed, err := p.Listing(r.Context(), after, wait)
+	answer(w, l.Version, l.Digest, l.Held, l, changed, err)
+}
+
+func (p *Platform) serveValue(w http.ResponseWriter, r *http.Request) {
+	text, err := p.Value(r.Context(), r.PathValue("hash"))
+	if err != nil {
+		http.Error(w, err.Error(), statusOf(err))
+		return
+	}
+	_, _ = w.Write(text)
+}
+
+func watchOf(r *http.Request) (uint64, time.Duration) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	waitMS, _ := strconv.Atoi(r.URL.Query().Get("wait-ms"))
+	return after, time.Duration(waitMS) * time.Millisecond
+}
+
+// answer writes a change, or status 204 if there is none.
+func answer(w http.ResponseWriter, number uint64, digest string, held time.Duration, v any, changed bool, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), statusOf(err))
+		return
+	}
+	w.Header().Set(reader.HeaderNumber, strconv.FormatUint(number, 10))
+	w.Header().Set(reader.HeaderDigest, digest)
+	w.Header().Set(reader.HeaderHeldMS, strconv.FormatInt(held.Milliseconds(), 10))
+	if !changed {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func statusOf(err error) int {
+	if errors.Is(err, ErrMissing) {
+		return http.StatusNotFound
+	}
+	return http.StatusServiceUnavailable
+}
--- a/internal/upstream/dispatch/dispatch.go
+++ b/internal/upstream/dispatch/dispatch.go
@@ -23,6 +23,8 @@
 // Viewer gives the view of the present moment.
 type Viewer interface {
 	Current() view.View
+	// Fresh refreshes a view that is too old for new work. It fails if that cannot be done before ctx ends.
+	Fresh(ctx context.Context) (view.View, error)
 }
 
 // Relayer sends an attempt through another instance.
@@ -107,6 +109,9 @@
 	if !t.IsCold() || first == d.self {
 		return d.direct(ctx, t, q)
 	}
+	if err := d.refresh(ctx, q.Upstream); err != nil {
+		return relay.Reply{}, err
+	}
 	if !d.permits(t) {
 		return relay.Reply{}, forbidden(q.Upstream)
 	}
@@ -128,6 +133,9 @@
 		return relay.Reply{}, &failure.Failure{Upstream: q.Upstream, Kind: failure.KindTimeout, NotRun: true, Err: err}
 	}
 	defer t.Release()
+	if err := d.refresh(ctx, q.Upstream); err != nil {
+		return relay.Reply{}, err
+	}
 	l, ok := d.directory.Link(q.Upstream)
 	if !ok || !d.permits(t) || (t.IsCold() && d.firstHome(q.Upstream) != d.self) {
 		return relay.Reply{}, forbidden(q.Upstream)
@@ -142,6 +150,14 @@
 	return reply, err
 }
 
+// refresh makes sure that the view is young enough for a dispatch to the upstream.
+func (d *Dispatcher) refresh(ctx context.Context, upstream string) error {
+	if _, err := d.viewer.Fresh(ctx); err != nil {
+		return &failure.Failure{Upstream: upstream, Kind: failure.KindForbidden, NotRun: true, Err: err}
+	}
+	return nil
+}
+
 func exchange(ctx context.Context, l *link.Link, q relay.Request) (relay.Reply, error) {
 	var reply relay.Reply
 	var err error
--- a/internal/wire/listing/listing.go
+++ b/internal/wire/listing/listing.go
@@ -1,10 +1,32 @@
 // Package listing holds the platform's message for its live and leaving list.
 package listing
 
-import "crocuswing/internal/fleet/member"
+import (
+	"strings"
+	"time"
 
-// Listing is one version of the list.
+	"crocuswing/internal/fleet/member"
+	"crocuswing/internal/wire/manifest"
+)
+
+// Listing is one version of the list: all members, or those that changed since the version From.
 type Listing struct {
-	Version uint64          `json:"version" msgpack:"v"`
-	Members []member.Member `json:"members" msgpack:"m"`
+	// From is the version that the members change; 0 means that they are all there are.
+	From    uint64 `json:"from" msgpack:"f,omitempty"`
+	Version uint64 `json:"version" msgpack:"v"`
+	// Digest is that of all members, each by its name and Hash.
+	Digest  string          `json:"digest" msgpack:"d"`
+	Members []member.Member `json:"members" msgpack:"m,omitempty"`
+	Removed []string        `json:"removed,omitempty" msgpack:"x,omitempty"`
+	// Held is the time for which the platform held the request before it answered.
+	Held time.Duration `json:"-" msgpack:"-"`
+}
+
+// IsWhole tells whether the members are all there are.
+func (l Listing) IsWhole() bool { return l.From == 0 }
+
+// Hash gives the content hash of a member: that of its fields, one a line.
+func Hash(m member.Member) string {
+	fields := []string{m.Name, m.Kind, m.FailureDomain, m.Region, m.Address, m.State}
+	return manifest.Hash([]byte(strings.Join(fields, "\n")))
 }
