test: prove acceptance, spreading and the platform's contract

Damping now also counts a fall while a peer is still suspected; before, a peer that flapped on was trusted after 5 s.

--- a/internal/fleet/contact/contact.go
+++ b/internal/fleet/contact/contact.go
@@ -77,14 +77,14 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	r := c.record(peer)
+	fellAgain := r.Suspected && r.answers >= trustAfter
 	r.answers = 0
 	r.failures++
-	if r.Suspected || r.failures < suspectAfter {
-		return
+	if fellAgain || (!r.Suspected && r.failures >= suspectAfter) {
+		r.Suspected = true
+		r.penalty = min(r.decayed(now)+penaltyStep, penaltyMost)
+		r.penalized = now
 	}
-	r.Suspected = true
-	r.penalty = min(r.decayed(now)+penaltyStep, penaltyMost)
-	r.penalized = now
 }
 
 // Left notes that a peer said that it leaves.
--- /dev/null
+++ b/internal/fleet/contact/contact_test.go
@@ -0,0 +1,63 @@
+package contact
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestSuspicion plays calls, one a second: "." is answered, "x" is not, " " is a second without a call.
+func TestSuspicion(t *testing.T) {
+	cases := []struct {
+		name, calls string
+		want        bool // suspected at the end
+	}{
+		{"one failure", "..x", false},
+		{"single failures", "x.x.x.x.x.", false},
+		{"two failures", "..xx", true},
+		{"one answer after", "xx.", true},
+		{"two answers after", "xx..", false},
+		{"one-way loss", "xxxxxxxx", true},
+		{"flaps twice", "xx..xx..", true},
+		{"flaps twice, then answers for long", "xx..xx..........", false},
+		{"flaps for long", "xx..xx..xx..xx..xx..xx..............", true},
+		{"flaps for long, then answers for longer", "xx..xx..xx..xx..xx..xx........................................", false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := New()
+				for _, call := range tc.calls {
+					time.Sleep(time.Second)
+					switch call {
+					case '.':
+						c.Answered("p", 1, false)
+					case 'x':
+						c.Failed("p")
+					}
+				}
+				require.Equal(t, tc.want, len(c.Suspected()) > 0)
+				require.Equal(t, tc.want, len(c.Avoided()) > 0)
+			})
+		})
+	}
+}
+
+func TestLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New()
+		c.Left("a")
+		c.Answered("b", 7, true)
+		require.Equal(t, []string{"a", "b"}, c.Avoided())
+		require.Empty(t, c.Suspected())
+		c.Answered("a", 8, false) // its next incarnation
+		require.Equal(t, []string{"b"}, c.Avoided())
+		time.Sleep(leavingHold)
+		require.Empty(t, c.Avoided())
+		c.Keep(func(peer string) bool { return peer == "a" })
+		require.Len(t, c.Peers(), 1)
+		require.Equal(t, uint64(8), c.Peers()[0].Revision)
+	})
+}
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -12,6 +12,7 @@
 
 	"crocuswing/internal/fleet/contact"
 	"crocuswing/internal/fleet/member"
+	"crocuswing/internal/fleet/roster"
 	"crocuswing/internal/fleet/store"
 	"crocuswing/internal/fleet/view"
 	"crocuswing/internal/fleet/watcher"
@@ -92,7 +93,7 @@
 // plan is the watcher plan with the view that it was made from.
 type plan struct {
 	watcher.Plan
-	version uint64
+	roster  roster.Roster
 	avoided []string
 	made    bool
 }
@@ -180,7 +181,7 @@
 // Leave tells peers that ask from now on that this instance leaves.
 func (f *Follower) Leave() { f.leaving.Store(true) }
 
-// Left notes that a peer leaves.
+// Left notes that a peer leaves, or that this instance has told the others that it leaves.
 func (f *Follower) Left(peer string) {
 	f.contacts.Left(peer)
 	f.judge()
@@ -237,10 +238,10 @@
 	v := f.Current()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.stood.made || f.stood.version != v.Roster().Version() || !slices.Equal(f.stood.avoided, v.Avoided()) {
+	if !f.stood.made || !f.stood.roster.HasInstancesOf(v.Roster()) || !slices.Equal(f.stood.avoided, v.Avoided()) {
 		f.stood = plan{
 			Plan:    watcher.New(f.self, v.Listed(), v.Avoided()),
-			version: v.Roster().Version(),
+			roster:  v.Roster(),
 			avoided: v.Avoided(),
 			made:    true,
 		}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -100,6 +100,9 @@
 	return found
 }
 
+// HasInstancesOf tells whether both list the same version of the instances.
+func (r Roster) HasInstancesOf(other Roster) bool { return r.instances.Is(other.instances) }
+
 // Names gives the names of all members, sorted.
 func (r Roster) Names() []string {
 	names := make([]string, 0, r.Len())
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -47,7 +47,11 @@
 
 // WithRoster gives a view with another list.
 func (v View) WithRoster(r roster.Roster) View {
+	same := r.HasInstancesOf(v.roster)
 	v.roster = r
+	if same {
+		return v
+	}
 	v.listed = slices.DeleteFunc(r.Of(member.KindInstance), func(m member.Member) bool {
 		return m.State == member.StateLeaving
 	})
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -64,9 +64,12 @@
 
 // choose gives the watchers of one failure domain, the highest score first.
 func choose(domain string, members []member.Member, domains int) []member.Member {
-	score := func(m member.Member) uint64 { return xxhash.Sum64String(m.Name + "\x00" + domain) }
+	scores := make(map[string]uint64, len(members))
+	for _, m := range members {
+		scores[m.Name] = xxhash.Sum64String(m.Name + "\x00" + domain)
+	}
 	slices.SortFunc(members, func(a, b member.Member) int {
-		return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(scores[b.Name], scores[a.Name]), cmp.Compare(a.Name, b.Name))
 	})
 	return members[:count(len(members), domains)]
 }
--- /dev/null
+++ b/internal/platform/reader/reader_test.go
@@ -0,0 +1,178 @@
+package reader
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"crocuswing/internal/wire/listing"
+	"crocuswing/internal/wire/manifest"
+
+	"github.com/stretchr/testify/require"
+)
+
+// sample is one exchange of the contract, as docs/contracts/platform.md shows it.
+type sample struct {
+	request string
+	status  int
+	header  http.Header
+	body    string
+}
+
+// samples reads the exchanges out of the contract's page, so that page and code cannot part.
+func samples(t *testing.T) map[string]sample {
+	t.Helper()
+	text, err := os.ReadFile("../../../docs/contracts/platform.md")
+	require.NoError(t, err)
+	all := make(map[string]sample)
+	for _, block := range strings.Split(string(text), "```http\n")[1:] {
+		block, _, _ = strings.Cut(block, "```")
+		request, answer, ok := strings.Cut(block, "\n\n")
+		require.True(t, ok, block)
+		head, body, _ := strings.Cut(answer, "\n\n")
+		lines := strings.Split(strings.TrimSpace(head), "\n")
+		s := sample{request: strings.TrimPrefix(request, "GET "), header: make(http.Header), body: strings.TrimSuffix(body, "\n")}
+		require.NoError(t, json.Unmarshal([]byte(strings.Fields(lines[0])[1]), &s.status))
+		for _, line := range lines[1:] {
+			name, value, _ := strings.Cut(line, ": ")
+			s.header.Set(name, value)
+		}
+		all[s.request] = s
+	}
+	return all
+}
+
+func serve(t *testing.T, h http.HandlerFunc) *Reader {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return New(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// TestSamples plays the platform of the contract's page to the reader.
+func TestSamples(t *testing.T) {
+	all := samples(t)
+	require.Len(t, all, 9)
+	r := serve(t, func(w http.ResponseWriter, q *http.Request) {
+		s, ok := all[q.URL.RequestURI()]
+		if !ok {
+			http.Error(w, "no sample for "+q.URL.RequestURI(), http.StatusTeapot)
+			return
+		}
+		for name := range s.header {
+			w.Header().Set(name, s.header.Get(name))
+		}
+		w.WriteHeader(s.status)
+		_, _ = w.Write([]byte(s.body))
+	})
+	ctx := context.Background()
+	m, changed, err := r.Manifest(ctx, 0, 0)
+	require.NoError(t, err)
+	require.True(t, changed && m.IsWhole())
+	require.Equal(t, digestOf(m), m.Digest)
+	whole := m
+
+	m, changed, err = r.Manifest(ctx, 41, time.Second)
+	require.NoError(t, err)
+	require.True(t, changed)
+	require.Equal(t, uint64(41), m.From)
+	require.Equal(t, []string{"preset/old"}, m.Removed)
+	text, err := r.Value(ctx, whole.Entries[1].Hash)
+	require.NoError(t, err)
+	after, err := m.Entries[0].Patch.Apply(text)
+	require.NoError(t, err)
+	require.Equal(t, m.Entries[0].Hash, manifest.Hash(after))
+	require.Equal(t, m.Entries[1].Hash, manifest.Hash([]byte(m.Entries[1].Value)))
+
+	m, changed, err = r.Manifest(ctx, 42, time.Second)
+	require.NoError(t, err)
+	require.False(t, changed)
+	require.Equal(t, uint64(42), m.Revision)
+
+	l, changed, err := r.Listing(ctx, 0, 0)
+	require.NoError(t, err)
+	require.True(t, changed && l.IsWhole())
+	digest := manifest.Digest(0)
+	for _, member := range l.Members {
+		digest = digest.With(member.Name, listing.Hash(member))
+	}
+	require.Equal(t, digest.String(), l.Digest)
+	l, changed, err = r.Listing(ctx, 7, time.Second)
+	require.NoError(t, err)
+	require.True(t, changed && l.From == 7)
+	l, changed, err = r.Listing(ctx, 8, time.Second)
+	require.NoError(t, err)
+	require.False(t, changed)
+	require.Equal(t, uint64(8), l.Version)
+
+	var status *StatusError
+	_, err = r.Value(ctx, "ffffffffffffffff")
+	require.ErrorAs(t, err, &status)
+	require.Equal(t, http.StatusNotFound, status.Status)
+	_, _, err = r.Manifest(ctx, 43, time.Second)
+	require.ErrorAs(t, err, &status)
+	require.Equal(t, http.StatusServiceUnavailable, status.Status)
+}
+
+func digestOf(m manifest.Manifest) string {
+	digest := manifest.Digest(0)
+	for _, e := range m.Entries {
+		digest = digest.With(e.Name, e.Hash)
+	}
+	return digest.String()
+}
+
+// TestFaultyAnswers refuses answers that break the contract.
+func TestFaultyAnswers(t *testing.T) {
+	cases := []struct {
+		name, number, held, body string
+		want                     any
+	}{
+		{"no number", "", "0", `{"revision":2}`, new(*HeaderError)},
+		{"no held time", "2", "", `{"revision":2}`, new(*HeaderError)},
+		{"negative held time", "2", "-1", `{"revision":2}`, new(*HeaderError)},
+		{"numbers differ", "2", "0", `{"revision":3}`, new(*NumberError)},
+		{"half a body", "2", "0", `{"revision":2,`, new(*json.SyntaxError)},
+		{"number of the wrong type", "2", "0", `{"revision":"2"}`, new(*json.UnmarshalTypeError)},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(HeaderNumber, tc.number)
+				w.Header().Set(HeaderHeldMS, tc.held)
+				_, _ = w.Write([]byte(tc.body))
+			})
+			_, _, err := r.Manifest(context.Background(), 1, 0)
+			require.ErrorAs(t, err, tc.want)
+		})
+	}
+	r := serve(t, func(w http.ResponseWriter, q *http.Request) {
+		if strings.HasSuffix(q.URL.Path, "long") {
+			_, _ = w.Write(make([]byte, maxValueBytes+1))
+		}
+	})
+	var other *HashError
+	_, err := r.Value(context.Background(), "0000000000000000")
+	require.ErrorAs(t, err, &other)
+	var long *LengthError
+	_, err = r.Value(context.Background(), "long")
+	require.ErrorAs(t, err, &long)
+}
+
+// TestHeldTimeIsBounded does not believe that a request was held for longer than it took.
+func TestHeldTimeIsBounded(t *testing.T) {
+	r := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(HeaderNumber, "2")
+		w.Header().Set(HeaderHeldMS, "3600000")
+		w.WriteHeader(http.StatusNoContent)
+	})
+	start := time.Now()
+	m, _, err := r.Manifest(context.Background(), 2, 0)
+	require.NoError(t, err)
+	require.LessOrEqual(t, m.Held, time.Since(start))
+}
--- a/internal/serve/instance/stop.go
+++ b/internal/serve/instance/stop.go
@@ -55,6 +55,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(i.settings.DrainDelayMS)*time.Millisecond)
 	defer cancel()
 	i.peers.Leave(ctx, i.follower.Current().Instances())
+	i.follower.Left(i.settings.Instance) // others are first homes now
 	<-ctx.Done()
 }
 
--- /dev/null
+++ b/internal/standin/platform/platform_test.go
@@ -0,0 +1,145 @@
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"crocuswing/internal/config/set"
+	"crocuswing/internal/fleet/member"
+	"crocuswing/internal/fleet/roster"
+	"crocuswing/internal/platform/reader"
+	"crocuswing/internal/standin/platform"
+	"crocuswing/internal/wire/listing"
+	"crocuswing/internal/wire/manifest"
+
+	"github.com/stretchr/testify/require"
+)
+
+const held = 30 * time.Millisecond
+
+// TestContract holds the stand-in, over HTTP, to the contract with the platform.
+func TestContract(t *testing.T) {
+	p := platform.New()
+	server := httptest.NewServer(p)
+	defer server.Close()
+	r := reader.New(strings.TrimPrefix(server.URL, "http://"))
+	ctx := context.Background()
+
+	m, changed, err := r.Manifest(ctx, 0, 0)
+	require.NoError(t, err)
+	require.False(t, changed, "nothing is published yet")
+	require.Equal(t, "0000000000000000", m.Digest)
+
+	long := fmt.Sprintf(`{"name":"long","region":%q}`, strings.Repeat("r", 9000))
+	p.Publish(map[string]string{"domain/a": `{"name":"a","region":"s"}`, "domain/gone": "1", "domain/long": "2"})
+	whole, changed, err := r.Manifest(ctx, 0, 0)
+	require.NoError(t, err)
+	require.True(t, changed && whole.IsWhole())
+	require.Len(t, whole.Entries, 3)
+	requireDigest(t, whole)
+
+	p.Publish(map[string]string{"domain/a": `{"name":"a","region":"s","out":true}`, "domain/gone": "", "domain/long": long})
+	m, changed, err = r.Manifest(ctx, 1, time.Minute)
+	require.NoError(t, err)
+	require.True(t, changed)
+	require.Equal(t, uint64(1), m.From)
+	require.Equal(t, []string{"domain/gone"}, m.Removed)
+	base := make(map[string]string)
+	for _, e := range whole.Entries {
+		base[e.Name] = e.Hash
+	}
+	for _, e := range m.Entries {
+		text, err := r.Value(ctx, e.Hash)
+		require.NoError(t, err)
+		require.Equal(t, e.Hash, manifest.Hash(text))
+		if e.Patch != nil {
+			require.Equal(t, base[e.Name], e.Patch.Base)
+			old, err := r.Value(ctx, e.Patch.Base) // what was replaced stays readable
+			require.NoError(t, err)
+			got, err := e.Patch.Apply(old)
+			require.NoError(t, err)
+			require.Equal(t, text, got)
+		}
+	}
+	now, _, err := r.Manifest(ctx, 0, 0)
+	require.NoError(t, err)
+	require.Equal(t, now.Digest, m.Digest)
+	requireDigest(t, now)
+
+	for _, after := range []uint64{2, 3} { // also when the reader knows more than this copy
+		m, changed, err = r.Manifest(ctx, after, held)
+		require.NoError(t, err)
+		require.False(t, changed)
+		require.Equal(t, uint64(2), m.Revision)
+		require.Equal(t, now.Digest, m.Digest)
+		require.GreaterOrEqual(t, m.Held, held)
+	}
+	_, err = r.Value(ctx, "ffffffffffffffff")
+	require.Error(t, err)
+	p.SetDown(true)
+	_, _, err = r.Manifest(ctx, 0, 0)
+	require.Error(t, err)
+}
+
+func requireDigest(t *testing.T, m manifest.Manifest) {
+	t.Helper()
+	digest := manifest.Digest(0)
+	for _, e := range m.Entries {
+		digest = digest.With(e.Name, e.Hash)
+	}
+	require.Equal(t, digest.String(), m.Digest)
+}
+
+// TestListContract follows the list by changes and compares with the whole.
+func TestListContract(t *testing.T) {
+	p := platform.New()
+	server := httptest.NewServer(p)
+	defer server.Close()
+	r := reader.New(strings.TrimPrefix(server.URL, "http://"))
+	ctx := context.Background()
+	followed := roster.Roster{}
+	for n := range 40 {
+		name := fmt.Sprint("up-", n%7)
+		if n%5 == 4 {
+			p.RemoveMember(name)
+		} else {
+			p.SetMember(member.Member{Name: name, Kind: member.KindUpstream, State: fmt.Sprint(n)})
+		}
+		if n%3 != 0 {
+			continue
+		}
+		l, changed, err := r.Listing(ctx, followed.Version(), time.Minute)
+		require.NoError(t, err)
+		require.True(t, changed)
+		require.Equal(t, followed.Version(), l.From)
+		followed, err = followed.Apply(l)
+		require.NoError(t, err)
+		whole, _, err := r.Listing(ctx, 0, 0)
+		require.NoError(t, err)
+		all, err := roster.Roster{}.Apply(whole)
+		require.NoError(t, err)
+		require.Equal(t, all.Of(member.KindUpstream), followed.Of(member.KindUpstream))
+	}
+	_, err := followed.Apply(listing.Listing{From: followed.Version() + 1, Version: followed.Version() + 2})
+	var refused *roster.Error
+	require.ErrorAs(t, err, &refused)
+}
+
+// TestReads counts each call once, and a set of the stand-in can be accepted whole.
+func TestReads(t *testing.T) {
+	p := platform.New()
+	p.Publish(map[string]string{"in-force": `{"preset":"p"}`})
+	ctx := context.Background()
+	m, _, err := p.Manifest(ctx, 0, 0)
+	require.NoError(t, err)
+	entries, removed := set.Set{}.Missing(m)
+	require.Len(t, entries, 1)
+	require.Empty(t, removed)
+	_, err = p.Value(ctx, entries[0].Hash)
+	require.NoError(t, err)
+	require.Equal(t, 2, p.Reads())
+}
