--- a/internal/fleet/contact/contact.go
+++ b/internal/fleet/contact/contact.go
@@ -106,6 +106,11 @@
 	return c.names(func(r *record, _ time.Time) bool { return r.Suspected })
 }
 
+// Leaving gives the names of the peers that said that they leave, sorted.
+func (c *Contacts) Leaving() []string {
+	return c.names(func(r *record, now time.Time) bool { return r.isLeaving(now) })
+}
+
 // Peers describes all peers, sorted by name.
 func (c *Contacts) Peers() []Peer {
 	c.mu.Lock()
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -29,7 +29,8 @@
 	retryWait     = 500 * time.Millisecond // after a failed read
 	startWait     = 200 * time.Millisecond // between two tries to start
 	valueReads    = 1000                   // of the platform, a second, by all watchers
-	coalesceWait  = 500 * time.Millisecond // after a change, so that a burst is read in one
+	coalesceWait  = 500 * time.Millisecond // mean time between the changes of a burst that are followed
+	burstChanges  = 4                      // followed at once
 	syncPeriod    = time.Second
 	syncTimeout   = 500 * time.Millisecond
 	loadTimeout   = 30 * time.Second
@@ -228,7 +229,7 @@
 
 // judge passes the judgement by contact on to the view.
 func (f *Follower) judge() {
-	if f.store.Avoid(f.contacts.Avoided()) {
+	if f.store.Avoid(f.contacts.Avoided(), f.contacts.Leaving()) {
 		f.log.Info("peers judged by contact", zap.Strings("avoided", f.contacts.Avoided()))
 	}
 }
--- a/internal/fleet/follower/platform.go
+++ b/internal/fleet/follower/platform.go
@@ -33,8 +33,11 @@
 	return fmt.Sprintf("platform serves %s %d, which is below %d", e.What, e.Serves, e.Surpassed)
 }
 
-// watch reads the platform again and again while this is the instance's duty.
+// watch reads the platform again and again while this is the instance's duty. A few changes are
+// followed at once; then a pause after each lets the others of a burst come in one.
 func (f *Follower) watch(ctx context.Context, follow func(context.Context, time.Duration) (bool, error)) {
+	var spent time.Duration // of the burst that may be followed at once
+	last := time.Now()
 	for ctx.Err() == nil {
 		if !f.isOnDuty() {
 			sleep(ctx, dutyPoll)
@@ -45,7 +48,9 @@
 		case err != nil:
 			sleep(ctx, f.jitter(retryWait))
 		case changed:
-			sleep(ctx, coalesceWait)
+			spent = max(spent-time.Since(last), 0) + coalesceWait
+			last = time.Now()
+			sleep(ctx, spent-burstChanges*coalesceWait)
 		}
 	}
 }
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -24,6 +24,8 @@
 	MethodOrder = "order"
 	// MethodRelay sends an attempt through an upstream's first home.
 	MethodRelay = "relay"
+	// MethodNotice tells the other homes of an upstream what one saw of it.
+	MethodNotice = "notice"
 )
 
 // Peers maps the names of instances to clients. It is safe for concurrent use.
@@ -94,6 +96,12 @@
 	return relay.Reply{}, &failure.Failure{Upstream: q.Upstream, Kind: failure.KindRelay, NotRun: isNotRun(err), Err: err}
 }
 
+// Notify tells another instance what this one saw of upstreams.
+func (p *Peers) Notify(ctx context.Context, instance string, notices []relay.Notice) error {
+	var none struct{}
+	return p.call(ctx, instance, MethodNotice, notices, &none)
+}
+
 func isNotRun(err error) bool {
 	var unsent *client.UnsentError
 	var refused *client.RefusedError
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -229,15 +229,16 @@
 	s.current.Store(&v)
 }
 
-// Avoid sets the instances that get no work through them and reports whether that is a change.
-func (s *Store) Avoid(instances []string) bool {
+// Avoid sets the instances that get no work through them, and those of them that said that they leave.
+// It reports whether that is a change.
+func (s *Store) Avoid(avoided, left []string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := s.Current()
-	if slices.Equal(v.Avoided(), instances) {
+	if slices.Equal(v.Avoided(), avoided) && slices.Equal(v.Left(), left) {
 		return false
 	}
-	s.replace(v.WithAvoided(instances))
+	s.replace(v.WithAvoided(avoided, left))
 	return true
 }
 
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -18,6 +18,7 @@
 	evidence evidence.Evidence
 	listed   []member.Member // instances that are not leaving, sorted by name
 	avoided  []string        // instances that contact has shown to be gone or leaving, sorted
+	left     []string        // those of them that said that they leave, sorted
 	usable   []string        // names of the listed instances that are not avoided, sorted
 }
 
@@ -55,15 +56,16 @@
 	v.listed = slices.DeleteFunc(r.Of(member.KindInstance), func(m member.Member) bool {
 		return m.State == member.StateLeaving
 	})
-	return v.WithAvoided(v.avoided)
+	return v.WithAvoided(v.avoided, v.left)
 }
 
-// WithAvoided gives a view whose Instances lack the given ones.
-func (v View) WithAvoided(instances []string) View {
-	v.avoided = instances
+// WithAvoided gives a view whose Instances lack those in avoided, among them the ones that have left.
+func (v View) WithAvoided(avoided, left []string) View {
+	v.avoided = avoided
+	v.left = left
 	v.usable = make([]string, 0, len(v.listed))
 	for _, m := range v.listed {
-		if !slices.Contains(instances, m.Name) {
+		if !slices.Contains(avoided, m.Name) {
 			v.usable = append(v.usable, m.Name)
 		}
 	}
@@ -99,3 +101,9 @@
 
 // Avoided gives the names of the instances that contact has shown to be gone or leaving, sorted.
 func (v View) Avoided() []string { return v.avoided }
+
+// HasLeft tells whether an instance said that it leaves; the list may lag behind that.
+func (v View) HasLeft(instance string) bool { return slices.Contains(v.left, instance) }
+
+// Left gives the names of the instances that said that they leave, sorted.
+func (v View) Left() []string { return v.left }
--- a/internal/serve/instance/calls.go
+++ b/internal/serve/instance/calls.go
@@ -20,6 +20,7 @@
 	return map[string]server.Method{
 		peers.MethodOrder:  i.placeForwarded,
 		peers.MethodRelay:  i.relay,
+		peers.MethodNotice: i.notice,
 		gossip.MethodSync:  i.sync,
 		gossip.MethodPage:  i.page,
 		gossip.MethodValue: i.value,
@@ -42,6 +43,16 @@
 	return i.dispatcher.Relayed(ctx, q), nil
 }
 
+// notice takes what another home saw of upstreams.
+func (i *Instance) notice(_ context.Context, body []byte) (any, error) {
+	var notices []relay.Notice
+	if err := msgpack.Unmarshal(body, &notices); err != nil {
+		return nil, err
+	}
+	i.dispatcher.Notified(notices)
+	return nil, nil
+}
+
 // placeForwarded runs an order that another instance forwarded to the owner of its ticket.
 func (i *Instance) placeForwarded(ctx context.Context, body []byte) (any, error) {
 	var p desk.Placement
--- a/internal/serve/instance/instance.go
+++ b/internal/serve/instance/instance.go
@@ -28,6 +28,7 @@
 	"crocuswing/internal/settings/process"
 	"crocuswing/internal/upstream/directory"
 	"crocuswing/internal/upstream/dispatch"
+	"crocuswing/internal/upstream/target"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -80,7 +81,7 @@
 		settings:    s,
 		log:         log.With(zap.String("instance", s.Instance)),
 		incarnation: uint64(time.Now().UnixNano()),
-		directory:   directory.New(),
+		directory:   directory.New(s.Instance),
 		metrics:     metric.New(),
 		contacts:    contact.New(),
 		flight:      flight.New(),
@@ -99,7 +100,7 @@
 	i.peers = peers.New(s.Instance, s.Peers, i.contacts, i.revision, i.heardFrom)
 	i.follower = follower.New(self, reader.New(s.PlatformAddress), i.peers, i.contacts, i.log, i.update,
 		follower.WithSeeds(s.Peers), follower.WithCounter(i.metrics.Count))
-	sender := dispatch.New(s.Instance, i.follower, i.directory, i.peers)
+	sender := dispatch.New(s.Instance, i.follower, i.directory, i.peers, dispatch.WithObserver(i.changed))
 	i.dispatcher = sender
 	i.runner = run.New(sender)
 	i.desk = desk.New(s.Instance, i.incarnation, []byte(s.TicketKey), i.flight.Sender(sender), i.peers)
@@ -121,6 +122,7 @@
 
 	var group errgroup.Group
 	group.Go(func() error { i.follower.Run(background); return nil })
+	group.Go(func() error { i.dispatcher.Run(background); return nil })
 	group.Go(func() error { return ignoreClosed(callers.Serve(i.listeners.Caller)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(i.listeners.Operator)) })
 	group.Go(func() error { return peerCalls.Serve(i.listeners.Peer) })
@@ -138,8 +140,7 @@
 
 // update passes a new view on. The upstreams of a failure domain that is back start cold.
 func (i *Instance) update(v view.View) {
-	homes := len(v.Roster().Of(member.KindInstance))
-	i.directory.Update(v, homes)
+	i.directory.Update(v)
 	i.peers.Update(v)
 	out := v.Config().DomainsOut()
 	returned := slices.DeleteFunc(i.out, func(name string) bool { return slices.Contains(out, name) })
@@ -156,6 +157,12 @@
 
 func (i *Instance) heardFrom(peer string, revision uint64) { i.follower.Heard(peer, revision) }
 
+// changed logs a change of an upstream's state.
+func (i *Instance) changed(upstream string, c target.Change) {
+	i.log.Info("upstream changed", zap.String("upstream", upstream), zap.String("incarnation", c.Incarnation),
+		zap.Bool("warm-up-began", c.Restarted), zap.Bool("warm-up-ended", c.Warmed), zap.Bool("leaving", c.Left))
+}
+
 func (i *Instance) listen() error {
 	if i.listeners.Caller != nil {
 		return nil
--- a/internal/serve/instance/stop.go
+++ b/internal/serve/instance/stop.go
@@ -44,6 +44,8 @@
 	}
 	i.desk.Wait(ctx)
 	peerCalls.Shutdown(ctx)
+	i.desk.Wait(ctx) // orders that were forwarded here meanwhile
+	i.dispatcher.Wait(ctx)
 	if orders := i.flight.Orders(); len(orders) > 0 {
 		i.logLost("orders were cut off")
 	}
