--- a/internal/upstream/directory/directory.go
+++ b/internal/upstream/directory/directory.go
@@ -42,7 +42,7 @@
 	open Opener
 
 	updating sync.Mutex // held by Update, the only writer of what follows
-	digest   uint64     // of the configuration that contracts were read from
+	digest   string     // of the configuration that contracts were read from
 	named    map[string]contract.Contract
 
 	mu      sync.RWMutex // held only for single steps, so that an update delays no attempt
@@ -169,7 +169,7 @@
 	for _, m := range v.Roster().Of(member.KindInstance) {
 		c := home.Candidate{Name: m.Name, Place: home.Place{FailureDomain: m.FailureDomain, Region: m.Region}}
 		switch {
-		case m.State == member.StateLeaving:
+		case m.State == member.StateLeaving || v.HasLeft(m.Name):
 		case v.Config().IsOut(m.FailureDomain):
 			out = append(out, c)
 		default:
--- a/internal/upstream/dispatch/fleet_test.go
+++ b/internal/upstream/dispatch/fleet_test.go
@@ -172,6 +172,9 @@
 // Current is the node's view.
 func (x *node) Current() view.View { return *x.current.Load() }
 
+// Fresh is the node's view too: these tests make no view too old.
+func (x *node) Fresh(context.Context) (view.View, error) { return x.Current(), nil }
+
 // pause stops the node until the function that it gives is called.
 func (x *node) pause() func() {
 	resumed := make(chan struct{})
--- a/internal/upstream/dispatch/route.go
+++ b/internal/upstream/dispatch/route.go
@@ -20,6 +20,9 @@
 	if len(tried) > 0 {
 		homes = without(homes, tried)
 	}
+	if reachable := without(homes, d.viewer.Current().Avoided()); len(reachable) > 0 && !t.IsCold() {
+		homes = reachable
+	}
 	if len(homes) == 0 {
 		return "", false
 	}
