--- a/internal/upstream/dispatch/candidates.go
+++ b/internal/upstream/dispatch/candidates.go
@@ -42,13 +42,13 @@
 	m, _ := v.Roster().Member(name)
 	c.Distance = distance(self, m)
 	c.Busy = t.Busy()
-	c.Limit = t.Contract().Slots
+	c.Limit = t.Limit()
+	c.Load, c.LoadAge = t.Report(now)
 	switch {
 	case !t.IsOpen(now):
 		c.State = choice.StateShedding
 	case t.IsCold():
 		c.State = choice.StateCold
-		c.Limit = t.Contract().ColdSlots
 	default:
 		c.State = choice.StateOpen
 	}
--- a/internal/wire/part/part.go
+++ b/internal/wire/part/part.go
@@ -3,7 +3,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 )
 
@@ -43,22 +42,15 @@
 	return fmt.Sprintf("reply has %d rows, declares %d", e.Got, e.Want)
 }
 
-// UnmarshalJSON decodes a reply and refuses one that does not declare its count,
-// since an empty message would otherwise pass for a whole part without rows.
+// UnmarshalJSON decodes a reply. Where none is declared, Count is -1, so that Check refuses the reply:
+// an empty message would otherwise pass for a whole part without rows.
 func (r *Reply) UnmarshalJSON(text []byte) error {
 	type plain Reply // without this method
-	message := struct {
-		*plain
-		Count *int `json:"count"`
-	}{plain: (*plain)(r)}
-	*r = Reply{}
+	message := plain{Count: -1}
 	if err := json.Unmarshal(text, &message); err != nil {
 		return err
 	}
-	if message.Count == nil {
-		return errors.New("reply declares no count")
-	}
-	r.Count = *message.Count
+	*r = Reply(message)
 	return nil
 }
 
--- a/internal/wire/part/part_test.go
+++ b/internal/wire/part/part_test.go
@@ -46,8 +46,8 @@
 		require.Error(t, json.Unmarshal(text[:n], &r), "first %d bytes", n)
 	}
 	var r Reply
-	require.Error(t, json.Unmarshal([]byte(`{"request-id":"a/1","service":"search","shard":"s-1","snapshot":"n1"}`), &r),
-		"no count declared")
+	require.NoError(t, json.Unmarshal([]byte(`{"request-id":"a/1","service":"search","shard":"s-1","snapshot":"n1"}`), &r))
+	require.Error(t, r.Check(request), "no count declared")
 }
 
 // FuzzReply checks that whatever passes both decoder and check is whole and survives both codecs.
