fix: a cold replica that is suspect gets first attempts again

Cause: after a crash a replica is suspect, so it gets no ordinary first attempts, and cold, so it gets no probes beside one. It stayed cold as long as the other replica lived.

Change: a cold suspect replica that is due for another try gets the first attempt itself.

--- a/internal/query/run/rig_test.go
+++ b/internal/query/run/rig_test.go
@@ -72,6 +72,8 @@
 	current   view.View
 	sent      int // attempts
 	inFlight  int
+	latest    time.Time      // deadline of an attempt
+	counts    map[string]int // events by the name of their metric
 }
 
 // upstream is one replica; its fault applies to every attempt that reaches it.
@@ -80,6 +82,7 @@
 	slots     chan struct{}
 	mu        sync.Mutex
 	rng       *rand.Rand
+	drawn     int // attempts that reached it
 	slowdown  float64
 	load      float64
 	fault     fault
@@ -104,7 +107,7 @@
 )
 
 func newRig(d deployment) *rig {
-	r := &rig{deployment: d, upstreams: make(map[string]*upstream)}
+	r := &rig{deployment: d, upstreams: make(map[string]*upstream), counts: make(map[string]int)}
 	for _, s := range shardsOf(d.shards + 4) {
 		for i, name := range s.Replicas {
 			var n int
@@ -172,11 +175,34 @@
 	return r.current
 }
 
-func (r *rig) count(attempts, inFlight int) {
+func (r *rig) begin(ctx context.Context) {
+	deadline, _ := ctx.Deadline()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.sent += attempts
-	r.inFlight += inFlight
+	r.sent++
+	r.inFlight++
+	if deadline.After(r.latest) {
+		r.latest = deadline
+	}
+}
+
+func (r *rig) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inFlight--
+}
+
+// Count makes the rig the meter of its runners.
+func (r *rig) Count(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts[name]++
+}
+
+func (r *rig) counted(name string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.counts[name]
 }
 
 func (r *rig) attempts() (sent, inFlight int) {
@@ -204,6 +230,7 @@
 func (u *upstream) draw() (fault, time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.drawn++
 	took := time.Duration(float64(serviceTime) * u.slowdown * (0.5 + u.rng.ExpFloat64()/2))
 	const oneIn = 50
 	switch once := u.rng.IntN(oneIn) == 0; {
@@ -260,6 +287,8 @@
 
 // Part sends one attempt over the link, through a slot of the upstream and back.
 func (s *sender) Part(ctx context.Context, name string, q part.Request) (part.Reply, error) {
+	s.begin(ctx)
+	defer s.end()
 	s.enter(name, 1)
 	defer s.enter(name, -1)
 	u := s.upstreams[name]
@@ -293,7 +322,6 @@
 }
 
 func (s *sender) enter(name string, n int) {
-	s.count(max(n, 0), n)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy[name] += n
@@ -350,7 +378,7 @@
 			defer mu.Unlock()
 			return rng.IntN(n)
 		}
-		all[i] = run.New(s, run.WithCurrent(r.view), run.WithRandom(intn))
+		all[i] = run.New(s, run.WithCurrent(r.view), run.WithMeter(r), run.WithRandom(intn))
 	}
 	return all
 }
--- a/internal/query/run/step.go
+++ b/internal/query/run/step.go
@@ -16,7 +16,10 @@
 // begin sends the first attempt on a shard, and a probe beside it if a suspect replica is due for one.
 func (x *execution) begin(i int, now time.Time) {
 	all := x.candidates(i, now)
-	c, ok := choice.Pick(all, choice.First, x.usual, x.intn)
+	c, ok := x.trial(all, now)
+	if !ok {
+		c, ok = choice.Pick(all, choice.First, x.usual, x.intn)
+	}
 	if !ok {
 		x.park(i, now)
 		return
@@ -33,6 +36,19 @@
 	}
 }
 
+// trial picks a cold suspect replica that is due for another try. It gets the first attempt and no probe
+// beside one, since a cold upstream gets no extra work, and without any it would never be warm again.
+func (x *execution) trial(all []choice.Candidate, now time.Time) (int, bool) {
+	for i := range all {
+		c := &all[i]
+		if c.State == choice.StateCold && c.Record.IsSuspect(x.usual) && !c.IsFull() &&
+			c.Record.InFlight == 0 && x.history.TakeProbe(c.Upstream, now) {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
 // probe tries a suspect replica beside the first attempt, so that no answer waits for it.
 func (x *execution) probe(i int, c *choice.Candidate, isFirst bool, now time.Time) {
 	if !isFirst && x.isProbeDue(c, now) {
