--- a/internal/entry/handler/handler.go
+++ b/internal/entry/handler/handler.go
@@ -62,6 +62,7 @@
 		prefix:    prefix,
 		mux:       http.NewServeMux(),
 	}
+	m.Gauge("crocuswing_reads_joined", func() float64 { return float64(h.flight.Joined()) })
 	h.mux.HandleFunc("POST /v1/search", h.serve("search", h.search))
 	h.mux.HandleFunc("POST /v1/lookup", h.serve("lookup", h.lookup))
 	h.mux.HandleFunc("POST /v1/tickets", h.serve("ticket", h.mint))
--- a/internal/query/run/run_test.go
+++ b/internal/query/run/run_test.go
@@ -95,6 +95,16 @@
 			require.Equal(t, 20, ask(t.Context(), t, p, r).Coverage.Answered)
 			require.Positive(t, r.counted("crocuswing_hedges_total"))
 		}},
+		{"a hedge wins while another shard is slow", func(t *testing.T, r *rig, p policy) {
+			r.each("s-5a", func(u *upstream) { u.fault, u.slowdown = healthy, 100 })
+			r.each("s-5b", func(u *upstream) { u.slowdown = 100 })
+			time.AfterFunc(100*ms, func() {
+				_, inFlight := r.attempts()
+				require.Positive(t, inFlight, "the slow shard's")
+				require.LessOrEqual(t, inFlight, 3, "only the slow shard's")
+			})
+			require.Equal(t, 20, ask(t.Context(), t, p, r).Coverage.Answered)
+		}},
 		{"the deadline passes", func(t *testing.T, r *rig, p policy) {
 			r.each("", with(mute))
 			ctx, cancel := context.WithTimeout(t.Context(), 100*ms)
