--- a/internal/upstream/directory/directory.go
+++ b/internal/upstream/directory/directory.go
@@ -33,8 +33,9 @@
 	Close()
 }
 
-// Opener makes the link to one upstream with at most the given number of connections.
-type Opener func(name, address string, connections int) Link
+// Opener makes the link to one upstream with at most the given number of connections. The link calls
+// lost each time the upstream ends a connection first.
+type Opener func(name, address string, connections int, lost func()) Link
 
 // Directory maps the names of upstreams to their running state. It is safe for concurrent use.
 type Directory struct {
@@ -42,7 +43,7 @@
 	open Opener
 
 	updating sync.Mutex // held by Update, the only writer of what follows
-	digest   uint64     // of the configuration that contracts were read from
+	digest   string     // of the configuration that contracts were read from
 	version  uint64     // of the list that members were read from
 	reading  int        // counts the readings of contracts
 	named    []*entry
@@ -89,8 +90,8 @@
 	return d
 }
 
-func openLink(name, address string, connections int) Link {
-	return link.New(name, address, connections)
+func openLink(name, address string, connections int, lost func()) Link {
+	return link.New(name, address, connections, link.WithLost(lost))
 }
 
 // Target finds the running state of an upstream.
@@ -146,10 +147,8 @@
 		d.name(v.Config().Services())
 		d.digest = v.Config().Digest()
 	}
-	if isNewConfig || isNewList {
-		next := d.Ranking().Next(candidates(v))
-		d.change(func() { d.ranking = next })
-	}
+	next := d.Ranking().Next(candidates(v))
+	d.change(func() { d.ranking = next })
 	d.version = v.Roster().Version()
 	for _, e := range d.named {
 		m, ok := e.standing.member, !isNewList && e.Target != nil
@@ -221,10 +220,10 @@
 // that are not out. If all domains are out, their instances stay, so that work can end.
 func candidates(v view.View) []home.Candidate {
 	var in, out []home.Candidate
-	for _, m := range v.Roster().Of(member.KindInstance) {
+	for _, m := range v.Listed() {
 		c := home.Candidate{Name: m.Name, Place: home.Place{FailureDomain: m.FailureDomain, Region: m.Region}}
 		switch {
-		case m.State == member.StateLeaving:
+		case v.HasLeft(m.Name):
 		case v.Config().IsOut(m.FailureDomain):
 			out = append(out, c)
 		default:
@@ -283,7 +282,7 @@
 	case connections == 0:
 		next = nil
 	case old == nil:
-		next = d.open(e.name, e.standing.member.Address, connections)
+		next = d.open(e.name, e.standing.member.Address, connections, e.Doubt)
 	default:
 		old.SetShare(connections)
 	}
--- a/internal/upstream/directory/directory_bench_test.go
+++ b/internal/upstream/directory/directory_bench_test.go
@@ -20,7 +20,7 @@
 // Close does nothing.
 func (noLink) Close() {}
 
-func quiet(string, string, int) directory.Link { return noLink{} }
+func quiet(string, string, int, func()) directory.Link { return noLink{} }
 
 // BenchmarkMemory measures the state of one instance by upstreams, as a home of all of them (a fleet
 // of 4) and as one of 2,800 instances in 24 failure domains.
--- a/internal/upstream/directory/directory_test.go
+++ b/internal/upstream/directory/directory_test.go
@@ -110,7 +110,7 @@
 	return f
 }
 
-func (f *fleet) dial(name, _ string, n int) directory.Link {
+func (f *fleet) dial(name, _ string, n int, _ func()) directory.Link {
 	if f.open[name] == nil {
 		f.open[name] = new(int)
 	}
--- a/internal/upstream/dispatch/attempt.go
+++ b/internal/upstream/dispatch/attempt.go
@@ -8,6 +8,7 @@
 	"crocuswing/internal/upstream/directory"
 	"crocuswing/internal/upstream/failure"
 	"crocuswing/internal/upstream/queue"
+	"crocuswing/internal/upstream/start"
 	"crocuswing/internal/upstream/target"
 	"crocuswing/internal/wire/relay"
 )
@@ -75,20 +76,23 @@
 
 // relay sends an attempt through another home.
 func (d *Dispatcher) relay(ctx context.Context, t *target.Target, hop string, q relay.Request) (relay.Reply, error) {
+	if err := d.refresh(ctx, q.Upstream); err != nil {
+		return relay.Reply{}, err
+	}
 	if !d.permits(t) {
 		return relay.Reply{}, forbidden(q.Upstream)
 	}
 	t.BeginRelay()
 	end := d.hops.begin(hop)
 	defer end()
-	start := time.Now()
+	sent := time.Now()
 	q.Doubt, q.Incarnation = t.IsDoubted(), t.Incarnation()
 	reply, err := d.relayer.Relay(ctx, hop, q)
 	if err != nil {
 		t.EndRelay()
 		return relay.Reply{}, err
 	}
-	t.Relayed(time.Since(start), reply.Signal, reply.Incarnation, !reply.Cold)
+	t.Relayed(time.Since(sent), reply.Signal, reply.Incarnation, !reply.Cold)
 	if reply.Failed == "" {
 		return reply, nil
 	}
@@ -105,21 +109,38 @@
 	if !d.permits(t) {
 		return relay.Reply{}, forbidden(q.Upstream)
 	}
+	ctx, cancel := limitStart(ctx, q)
+	defer cancel()
 	slot, err := t.Acquire(ctx)
 	if err != nil {
 		return relay.Reply{}, notAcquired(q.Upstream, err)
 	}
+	if err := d.refresh(ctx, q.Upstream); err != nil {
+		t.Return(slot)
+		return relay.Reply{}, err
+	}
 	l, ok := d.directory.Link(q.Upstream)
 	if !ok || !d.permits(t) {
 		t.Return(slot)
 		return relay.Reply{}, forbidden(q.Upstream)
 	}
-	if slot.MustEnd {
+	// An order has its own time for the answer and is not withdrawn when its caller gives up.
+	if slot.MustEnd && q.Order == nil {
 		return d.detach(ctx, t, slot, l, q)
 	}
 	return d.exchange(ctx, t, slot, l, q)
 }
 
+// limitStart limits the time in which an order has to reach its upstream. Its answer may take longer.
+func limitStart(ctx context.Context, q relay.Request) (context.Context, context.CancelFunc) {
+	if q.Order != nil {
+		if left, ok := q.Order.StartWithin(); ok {
+			return start.Within(ctx, left)
+		}
+	}
+	return ctx, func() {}
+}
+
 // result is what an exchange gave.
 type result struct {
 	reply relay.Reply
--- a/internal/upstream/dispatch/dispatch.go
+++ b/internal/upstream/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"crocuswing/internal/fleet/view"
 	"crocuswing/internal/index/shard"
 	"crocuswing/internal/upstream/directory"
+	"crocuswing/internal/upstream/failure"
 	"crocuswing/internal/upstream/target"
 	"crocuswing/internal/wire/order"
 	"crocuswing/internal/wire/part"
@@ -20,6 +21,8 @@
 // Viewer gives the view of the present moment.
 type Viewer interface {
 	Current() view.View
+	// Fresh refreshes a view that is too old for new work. It fails if that cannot be done before ctx ends.
+	Fresh(ctx context.Context) (view.View, error)
 }
 
 // Relayer reaches other instances.
@@ -107,6 +110,14 @@
 	return reply.Order, err
 }
 
+// refresh makes sure that the view is young enough for a dispatch to the upstream.
+func (d *Dispatcher) refresh(ctx context.Context, upstream string) error {
+	if _, err := d.viewer.Fresh(ctx); err != nil {
+		return &failure.Failure{Upstream: upstream, Kind: failure.KindForbidden, NotRun: true, Err: err}
+	}
+	return nil
+}
+
 func (d *Dispatcher) permits(t *target.Target) bool {
 	return d.viewer.Current().Permits(t.Name()) && t.IsOpen(time.Now())
 }
--- a/internal/upstream/dispatch/dispatch_bench_test.go
+++ b/internal/upstream/dispatch/dispatch_bench_test.go
@@ -43,7 +43,7 @@
 		b.Run(c.name, func(b *testing.B) {
 			f := &fleet{t: b, servers: map[string]*server{"a": newServer("a")}, nodes: map[string]*node{}}
 			x := &node{name: c.self, fleet: f}
-			x.directory = directory.New(c.self, directory.WithOpener(func(string, string, int) directory.Link { return instant{} }))
+			x.directory = directory.New(c.self, directory.WithOpener(func(string, string, int, func()) directory.Link { return instant{} }))
 			x.Dispatcher = dispatch.New(c.self, x, x.directory, instant{})
 			f.nodes[c.self] = x
 			f.publishTo([]string{c.self}, c.instances, nil)
