--- a/internal/operator/status/status.go
+++ b/internal/operator/status/status.go
@@ -30,6 +30,8 @@
 	ExtraAttempts   int64    `json:"extra-attempts"`
 	// InFlight is the number of requests of callers in flight.
 	InFlight int `json:"requests-in-flight"`
+	// OrdersInFlight is the number of orders that are being sent to upstreams.
+	OrdersInFlight int `json:"orders-in-flight"`
 }
 
 // Peer is another instance that this one has called.
--- /dev/null
+++ b/internal/serve/instance/instance_test.go
@@ -0,0 +1,264 @@
+package instance_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"crocuswing/internal/demo/backend"
+	"crocuswing/internal/fleet/member"
+	"crocuswing/internal/operator/status"
+	"crocuswing/internal/order/outcome"
+	"crocuswing/internal/serve/instance"
+	"crocuswing/internal/settings/process"
+	"crocuswing/internal/standin/balancer"
+	"crocuswing/internal/standin/caller"
+	"crocuswing/internal/wire/call"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+const (
+	waitLimit    = 30 * time.Second
+	drainDelayMS = 1500
+)
+
+// fleet is a backend with instances in this process.
+type fleet struct {
+	*backend.Backend
+	t        *testing.T
+	caller   *caller.Caller
+	balancer *balancer.Balancer
+	started  int
+}
+
+// running is one instance of the fleet.
+type running struct {
+	*instance.Instance
+	name, address string
+	stop          context.CancelFunc
+	hurry         chan os.Signal
+	ended         chan error
+	logs          *observer.ObservedLogs
+}
+
+func start(t *testing.T, count int) (*fleet, []*running) {
+	b, err := backend.Start(1)
+	require.NoError(t, err)
+	f := &fleet{Backend: b, t: t, caller: caller.New(backend.CallerKey), balancer: balancer.New()}
+	t.Cleanup(b.Close)
+	var all []*running
+	for range count {
+		all = append(all, f.add())
+	}
+	return f, all
+}
+
+// add starts an instance and waits until it is ready.
+func (f *fleet) add() *running {
+	var l [3]net.Listener
+	for n := range l {
+		var err error
+		l[n], err = net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(f.t, err)
+	}
+	d := backend.Domains[f.started%len(backend.Domains)]
+	core, logs := observer.New(zap.InfoLevel)
+	r := &running{name: fmt.Sprint("instance-", f.started), address: l[0].Addr().String(), hurry: make(chan os.Signal, 1), ended: make(chan error, 1), logs: logs}
+	f.started++
+	f.Platform.SetMember(member.Member{
+		Name: r.name, Kind: member.KindInstance, FailureDomain: d.Name, Region: d.Region,
+		Address: l[1].Addr().String(), State: member.StateLive,
+	})
+	s := process.Settings{
+		Instance: r.name, FailureDomain: d.Name, Region: d.Region, PlatformAddress: f.Address,
+		TicketKey: backend.TicketKey, DrainDelayMS: drainDelayMS,
+	}
+	r.Instance = instance.New(s, zap.New(core), instance.WithHurry(r.hurry),
+		instance.WithListeners(instance.Listeners{Caller: l[0], Peer: l[1], Operator: l[2]}))
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	f.t.Cleanup(stop)
+	go func() { r.ended <- r.Run(ctx) }()
+	f.await(func() bool { return r.Status().Ready })
+	f.balancer.Add(r.address)
+	return r
+}
+
+func (f *fleet) await(is func() bool) {
+	f.t.Helper()
+	require.Eventually(f.t, is, waitLimit, time.Millisecond)
+}
+
+func (f *fleet) slow(factor float64) {
+	for _, u := range f.Upstreams() {
+		u.SetSlowdown(factor)
+	}
+}
+
+// order places one order; an error that is no refusal means that the request was cut off.
+func (f *fleet) order(address, body string) (string, error) {
+	ticket, err := f.caller.Ticket(context.Background(), address, backend.OrderService)
+	if err != nil {
+		return "", err
+	}
+	o, err := f.caller.Order(context.Background(), address, call.Order{Ticket: ticket.Ticket, Service: backend.OrderService, Key: body, Body: body})
+	return o.State, err
+}
+
+func (f *fleet) search(address, id string) error {
+	_, err := f.caller.Search(context.Background(), address, id, call.Search{Service: backend.SearchService, Query: id})
+	return err
+}
+
+func isCut(err error) bool {
+	var refused *caller.StatusError
+	return err != nil && !errors.As(err, &refused)
+}
+
+func (f *fleet) ran(body string) int {
+	total := 0
+	for _, u := range f.Upstreams() {
+		total += u.Ran(body)
+	}
+	return total
+}
+
+func peerOf(s status.Status, name string) status.Peer {
+	for _, p := range s.Peers {
+		if p.Instance == name {
+			return p
+		}
+	}
+	return status.Peer{}
+}
+
+// TestPlannedStopFinishes stops an instance while requests and orders are in flight in it.
+func TestPlannedStopFinishes(t *testing.T) {
+	f, all := start(t, 2)
+	f.slow(200)
+	var cut atomic.Int64
+	var work sync.WaitGroup
+	states := make([]string, 4)
+	for n := range 4 {
+		work.Go(func() {
+			if isCut(f.search(all[0].address, fmt.Sprint("stop-", n))) {
+				cut.Add(1)
+			}
+		})
+		work.Go(func() {
+			state, err := f.order(all[0].address, fmt.Sprint("stop-order-", n))
+			if isCut(err) {
+				cut.Add(1)
+			}
+			states[n] = state
+		})
+	}
+	f.await(func() bool { return all[0].Status().InFlight >= 4 })
+	all[0].stop()
+	f.await(func() bool { return !all[0].Status().Ready })
+	f.await(func() bool { return peerOf(all[1].Status(), all[0].name).Leaving })
+	work.Wait()
+	require.NoError(t, <-all[0].ended)
+	require.Zero(t, cut.Load())
+	require.Empty(t, all[0].logs.FilterLevelExact(zap.ErrorLevel).All())
+	for n, state := range states {
+		ran := f.ran(fmt.Sprint("stop-order-", n))
+		require.True(t, state == outcome.Done && ran == 1 || state == outcome.NotRun && ran == 0 || state == outcome.Unknown && ran <= 1, "%s ran %d times", state, ran)
+	}
+}
+
+// TestHurriedStop sends a second signal while an order is in flight: the log names it.
+func TestHurriedStop(t *testing.T) {
+	f, all := start(t, 1)
+	const patient = `{"name":"ordinary","deadline-ms":60000,"answer-policy":"coverage","hedge-quantile":0.9,"hedge-share":0,"retry-share":0}`
+	revision := f.Platform.Publish(map[string]string{"preset/ordinary": patient})
+	f.await(func() bool { return all[0].Status().Revision == revision })
+	f.slow(1e6)
+	go func() { _, _ = f.order(all[0].address, "hurried") }()
+	f.await(func() bool { return all[0].Status().OrdersInFlight == 1 })
+	all[0].stop()
+	f.await(func() bool { return !all[0].Status().Ready })
+	all[0].hurry <- syscall.SIGTERM
+	require.NoError(t, <-all[0].ended)
+	lost := all[0].logs.FilterMessage("stop is cut short").All()
+	require.Len(t, lost, 1)
+	require.Len(t, lost[0].ContextMap()["orders-unknown"], 1)
+}
+
+// TestRollingReplacement replaces all four instances in turn under load.
+func TestRollingReplacement(t *testing.T) {
+	f, all := start(t, 4)
+	done := make(chan struct{})
+	var cut, answered atomic.Int64
+	var bodies sync.Map
+	var work sync.WaitGroup
+	for w := range 6 {
+		work.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				id := fmt.Sprintf("roll-%d-%d", w, n)
+				var err error
+				if w%2 == 0 {
+					err = f.search(f.balancer.Pick(), id)
+				} else {
+					var state string
+					state, err = f.order(f.balancer.Pick(), id)
+					bodies.Store(id, state)
+				}
+				if isCut(err) {
+					cut.Add(1)
+					t.Log(err)
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	for _, r := range all {
+		before := answered.Load()
+		f.await(func() bool { return answered.Load() > before+20 })
+		r.stop()
+		f.await(func() bool { return !r.Status().Ready })
+		f.balancer.Remove(r.address)
+		require.NoError(t, <-r.ended)
+		f.Platform.RemoveMember(r.name)
+		f.add()
+	}
+	close(done)
+	work.Wait()
+	require.Zero(t, cut.Load())
+	placed := 0
+	bodies.Range(func(id, state any) bool {
+		ran := f.ran(id.(string))
+		require.True(t, state == outcome.Done && ran == 1 || state != outcome.Done && ran <= 1, "%s: %s, ran %d times", id, state, ran)
+		placed++
+		return true
+	})
+	require.Positive(t, placed)
+}
+
+// TestDomainOutAndBack takes a failure domain out and back in a running fleet: its upstreams start cold.
+func TestDomainOutAndBack(t *testing.T) {
+	f, all := start(t, 2)
+	require.NoError(t, f.search(all[0].address, "warm"))
+	f.SetOut(backend.Domains[0].Name, true)
+	f.await(func() bool { return len(all[1].Status().DomainsOut) == 1 && len(all[0].Status().DomainsOut) == 1 })
+	f.SetOut(backend.Domains[0].Name, false)
+	f.await(func() bool { return len(all[0].Status().DomainsOut) == 0 && len(all[1].Status().DomainsOut) == 0 })
+	f.await(func() bool { return all[0].logs.FilterMessage("failure domains return").Len() == 1 })
+	require.True(t, all[0].Status().Ready)
+	require.True(t, all[0].Status().Watcher)
+}
--- a/internal/serve/instance/status.go
+++ b/internal/serve/instance/status.go
@@ -31,6 +31,7 @@
 		FirstAttempts:   first,
 		ExtraAttempts:   extra,
 		InFlight:        i.flight.Requests(),
+		OrdersInFlight:  len(i.flight.Orders()),
 		Cold:            make([]string, 0),
 	}
 	for _, t := range i.directory.Targets() {
