--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -11,8 +11,6 @@
 	"crocuswing/internal/fleet/member"
 	"crocuswing/internal/fleet/roster"
 	"crocuswing/internal/fleet/view"
-	"crocuswing/internal/order/desk"
-	"crocuswing/internal/order/outcome"
 	"crocuswing/internal/peer/client"
 	"crocuswing/internal/upstream/failure"
 	"crocuswing/internal/wire/relay"
@@ -137,15 +135,3 @@
 	}
 	return err
 }
-
-// Forward hands a placement to the instance that owns its ticket. It fails with *desk.UnsentError
-// if the owner did not get it; after any other error the owner may have acted.
-func (p *Peers) Forward(ctx context.Context, owner string, placement desk.Placement) (outcome.Outcome, error) {
-	var o outcome.Outcome
-	err := p.call(ctx, owner, MethodOrder, placement, &o)
-	var unsent *client.UnsentError
-	if errors.As(err, &unsent) {
-		return outcome.Outcome{}, &desk.UnsentError{Err: err}
-	}
-	return o, err
-}
