--- a/internal/serve/instance/calls.go
+++ b/internal/serve/instance/calls.go
@@ -5,7 +5,6 @@
 	"errors"
 
 	"crocuswing/internal/fleet/peers"
-	"crocuswing/internal/order/desk"
 	"crocuswing/internal/peer/server"
 	"crocuswing/internal/wire/gossip"
 	"crocuswing/internal/wire/relay"
@@ -17,6 +16,7 @@
 func (i *Instance) methods() map[string]server.Method {
 	return map[string]server.Method{
 		peers.MethodOrder:  i.placeForwarded,
+		peers.MethodMint:   i.mintFor,
 		peers.MethodRelay:  i.relay,
 		peers.MethodNotice: i.notice,
 		gossip.MethodSync:  i.sync,
@@ -51,15 +51,6 @@
 	return nil, nil
 }
 
-// placeForwarded runs an order that another instance forwarded to the owner of its ticket.
-func (i *Instance) placeForwarded(ctx context.Context, body []byte) (any, error) {
-	var p desk.Placement
-	if err := msgpack.Unmarshal(body, &p); err != nil {
-		return nil, err
-	}
-	return i.desk.Answer(ctx, p), nil
-}
-
 // sync compares views with another instance.
 func (i *Instance) sync(_ context.Context, body []byte) (any, error) {
 	var q gossip.Request
--- a/internal/serve/instance/stop.go
+++ b/internal/serve/instance/stop.go
@@ -19,6 +19,7 @@
 // callers, then the work of other instances and the orders.
 func (i *Instance) stop(callers *http.Server, peerCalls *server.Server) {
 	i.stopping.Store(true)
+	i.desk.Stop()
 	i.follower.Leave()
 	i.flight.Leave()
 	i.log.Info("instance drains", zap.Int("delay-ms", i.settings.DrainDelayMS))
