fix: probes and hedges leave a suspect replica in peace

Cause: a probe that was withdrawn before the usual time told nothing and so did not lengthen the wait for the next one; and the expected time of a suspect replica faded, so that it looked worth a hedge.

Change: each probe without a good answer lengthens the wait; the time of a suspect replica does not fade.

--- a/internal/query/choice/choice.go
+++ b/internal/query/choice/choice.go
@@ -180,21 +180,17 @@
 
 // cost is the expected time of one more attempt behind those in flight.
 func (c *Candidate) cost() float64 {
-	expected := c.Expected()
-	if c.Record.Misses > 0 {
-		expected = max(expected, c.Record.Latency)
-	}
-	return float64(max(expected, c.Record.Oldest)) * float64(1+c.inFlight())
+	return float64(max(c.Expected(), c.Record.Oldest)) * float64(1+c.inFlight())
 }
 
-// Expected is the time that an attempt is likely to take: the mean of the recent ones, which fades to
-// the usual time for the distance when it is old.
+// Expected is the time that an attempt is likely to take: the mean of the recent ones. An old mean fades to
+// the usual time for the distance, but not where the last attempts were misses.
 func (c *Candidate) Expected() time.Duration {
 	floor, latency := assumed[c.Distance], c.Record.Latency
 	switch {
 	case latency == 0:
 		return floor
-	case latency <= floor:
+	case latency <= floor, c.Record.Misses > 0:
 		return latency
 	}
 	return floor + time.Duration(float64(latency-floor)*decay(c.Record.Age, halfLife))
--- a/internal/stats/history/history.go
+++ b/internal/stats/history/history.go
@@ -17,6 +17,7 @@
 	failingMisses = 3   // consecutive misses after which an upstream gets no hedges
 	firstProbe    = 100 * time.Millisecond
 	probeGrowth   = 4 // factor by which the wait for the next probe grows with each miss
+	mostGrowth    = 4 // steps from the first to the longest wait
 	longestProbe  = 16 * time.Second
 	sweepEvery    = 1024
 	forgetAfter   = time.Minute
@@ -63,6 +64,7 @@
 	misses  int
 	missed  time.Time
 	probed  time.Time
+	probes  int // since the last good answer
 	used    time.Time
 }
 
@@ -100,7 +102,7 @@
 	if r.misses > 0 || r.latency == 0 {
 		r.latency = took
 	}
-	r.misses = 0
+	r.misses, r.probes = 0, 0
 	r.latency += time.Duration(weight * float64(took-r.latency))
 	r.sampled = now
 }
@@ -143,7 +145,7 @@
 }
 
 // TakeProbe reports whether a suspect upstream may be tried again at now, and counts that as done.
-// The wait grows from 100 ms after the first miss to 16 s.
+// The wait grows with each miss and each probe without a good answer, from 100 ms to 16 s.
 func (h *History) TakeProbe(upstream string, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -152,13 +154,14 @@
 		return false
 	}
 	wait := firstProbe
-	for range min(r.misses-1, failingMisses+1) {
+	for range min(max(r.misses-1, r.probes), mostGrowth) {
 		wait = min(probeGrowth*wait, longestProbe)
 	}
 	if now.Sub(r.missed) < wait || now.Sub(r.probed) < wait {
 		return false
 	}
 	r.probed = now
+	r.probes++
 	return true
 }
 
