fix: let one attempt pass an overdue one

Cause: with one slot for each of four homes, an attempt on a silent connection kept the home's only slot until its deadline; a silent connection is found only when later attempts are answered, and none were sent. Change: while the oldest attempt in flight to a warm upstream is overdue (8 times the recent service time, at least 20 ms), its home may send one more.

--- a/internal/upstream/dispatch/load_test.go
+++ b/internal/upstream/dispatch/load_test.go
@@ -18,6 +18,9 @@
 // twice is a load of twice the capacity of one server.
 var twice = load{interval: serviceTime / 4, lasts: 4 * time.Second, timeout: 240 * time.Millisecond}
 
+// patient is a steady load that waits longer than a request may wait in a queue.
+var patient = load{interval: steady.interval, lasts: steady.lasts, timeout: time.Second}
+
 func loadCases() []faultCase {
 	one := []string{"a"}
 	storm := twice
@@ -30,6 +33,7 @@
 		{name: "retry storm at twice the capacity", servers: one, warm: true, load: storm, fault: stubborn, check: keepsAttempts},
 		{name: "sheds with Retry-After", servers: one, warm: true, load: steady, fault: shedAfter(time.Second), check: backsOff, naive: sendsOn},
 		{name: "sheds while cold", servers: one, load: steady, fault: shedAfter(4 * coldFactor * serviceTime), check: backsOff, naive: sendsOn},
+		{name: "a silent connection at each home", servers: one, warm: true, load: patient, fault: hang, check: passesSilence},
 		{name: "home lost, others relay", instances: 6, servers: one, warm: true, load: steady, fault: loseLast, check: reroutes},
 	}
 }
@@ -109,6 +113,17 @@
 	require.Greater(t, f.servers["a"].counts().shed, bounds.HomeCount(4)*int(time.Second/retryAfter+1))
 }
 
+// hang leaves as many requests without an answer as there are homes, each with one slot.
+func hang(f *fleet) {
+	time.Sleep(time.Second)
+	f.servers["a"].change(func() { f.servers["a"].hangs = bounds.HomeCount(4) })
+}
+
+func passesSilence(t *testing.T, _ *fleet, o outcome) {
+	require.Equal(t, bounds.HomeCount(4), o.lost, "only what hangs is lost")
+	require.Zero(t, o.refused, "no slot may stay blocked until the deadline")
+}
+
 // loseLast ends the last home; the list does not tell.
 func loseLast(f *fleet) {
 	time.Sleep(time.Second)
--- a/internal/upstream/dispatch/server_test.go
+++ b/internal/upstream/dispatch/server_test.go
@@ -36,6 +36,7 @@
 	report      string
 	slowdown    int
 	shedFor     time.Duration // sheds with this Retry-After, if not zero
+	hangs       int           // arrivals that get no answer, as on a silent connection
 	stubborn    bool          // works on after a request is canceled, also when warm
 	leaving     time.Time     // of the first signal
 	quiet       bool          // answers do not tell that it is leaving
@@ -86,6 +87,10 @@
 // Part serves one request over a network with a latency.
 func (s *server) Part(ctx context.Context, q part.Request) (part.Reply, signal.Signal, error) {
 	time.Sleep(oneWay)
+	if s.hang() {
+		<-ctx.Done()
+		return part.Reply{}, signal.Signal{Load: -1}, &failure.Failure{Upstream: s.name, Kind: failure.KindTimeout}
+	}
 	sig, took, incarnation, err := s.arrive()
 	if err != nil {
 		time.Sleep(oneWay)
@@ -102,6 +107,13 @@
 	return part.Reply{RequestID: q.RequestID}, sig, nil
 }
 
+func (s *server) hang() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hangs--
+	return s.hangs >= 0
+}
+
 // Order serves one order like a part.
 func (s *server) Order(ctx context.Context, q order.Request) (order.Reply, signal.Signal, error) {
 	_, sig, err := s.Part(ctx, part.Request{RequestID: q.RequestID})
--- a/internal/upstream/queue/queue.go
+++ b/internal/upstream/queue/queue.go
@@ -31,14 +31,14 @@
 type Waiter struct {
 	ended    chan struct{}
 	deadline time.Time
-	granted  bool
+	granted  time.Time // zero unless it was granted a slot
 }
 
 // Ended is closed when the waiter was granted a slot or refused.
 func (w *Waiter) Ended() <-chan struct{} { return w.ended }
 
-// IsGranted tells whether the ended waiter holds a slot.
-func (w *Waiter) IsGranted() bool { return w.granted }
+// Granted is the time at which the ended waiter got a slot, and false if it was refused.
+func (w *Waiter) Granted() (time.Time, bool) { return w.granted, !w.granted.IsZero() }
 
 // Deadline is the time by which the waiter gives up.
 func (w *Waiter) Deadline() time.Time { return w.deadline }
@@ -81,9 +81,12 @@
 		w := q.waiters[0]
 		q.waiters[0] = nil
 		q.waiters = q.waiters[1:]
-		w.granted = now.Before(w.deadline)
+		inTime := now.Before(w.deadline)
+		if inTime {
+			w.granted = now
+		}
 		close(w.ended)
-		if w.granted {
+		if inTime {
 			return true
 		}
 	}
--- a/internal/upstream/target/slot.go
+++ b/internal/upstream/target/slot.go
@@ -64,15 +64,16 @@
 // IsNone tells whether nothing changed.
 func (c Change) IsNone() bool { return !c.Restarted && !c.Warmed && !c.Left }
 
-func (t *Target) slot(now time.Time) Slot {
-	return Slot{epoch: t.work.warmup.Epoch(), start: now, MustEnd: t.work.warmup.Phase(now) != warmup.Warm}
+// slot makes the slot that was taken at the given time.
+func (t *Target) slot(start time.Time) Slot {
+	return Slot{epoch: t.work.warmup.Epoch(), start: start, MustEnd: t.work.warmup.Phase(time.Now()) != warmup.Warm}
 }
 
 // Return gives back the slot of an attempt that was not sent.
-func (t *Target) Return(Slot) {
+func (t *Target) Return(s Slot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.work.inFlight--
+	t.work.end(s.start)
 	t.settle(time.Now())
 }
 
@@ -90,7 +91,7 @@
 	if restarted {
 		t.work.limit = t.work.limit.WithStart(t.contract.ColdSlots)
 	}
-	t.work.inFlight--
+	t.work.end(s.start)
 	t.settle(now)
 	return Change{
 		Restarted:   restarted,
@@ -108,7 +109,7 @@
 	case "":
 		a := warmup.Answer{Epoch: s.epoch, Incarnation: r.Signal.Incarnation, ReportsCold: r.Signal.Cold, Took: took}
 		w.warmup = w.warmup.WithSuccess(now, a)
-		w.limit = w.limit.WithSuccess(now, took, w.inFlight)
+		w.limit = w.limit.WithSuccess(now, took, w.inFlight())
 		t.observe(took)
 	case failure.KindShed:
 		w.warmup = w.warmup.WithShed(now, s.epoch, r.Signal.Incarnation)
--- a/internal/upstream/target/target.go
+++ b/internal/upstream/target/target.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,9 @@
 
 	latencyWeight = 0.2 // weight of the newest sample in the mean
 	maxRetryAfter = 10 * time.Second
+
+	overdueFactor = 8 // multiple of the recent service time from which an attempt is overdue
+	minOverdue    = 20 * time.Millisecond
 )
 
 // Role is the part that this instance plays for an upstream under the present view.
@@ -57,8 +61,25 @@
 	warmup    warmup.Warmup
 	limit     limit.Limit
 	queue     queue.Queue
-	inFlight  int
-	heldUntil time.Time // a new first home sends nothing before
+	starts    []time.Time // of the attempts in flight, oldest first
+	heldUntil time.Time   // a new first home sends nothing before
+}
+
+func (w *work) inFlight() int { return len(w.starts) }
+
+// start takes a slot.
+func (w *work) start(now time.Time) { w.starts = append(w.starts, now) }
+
+// end gives back a slot that was taken at the given time.
+func (w *work) end(started time.Time) {
+	if n := slices.IndexFunc(w.starts, started.Equal); n >= 0 {
+		w.starts = slices.Delete(w.starts, n, n+1)
+	}
+}
+
+// overdueAt is the time from which the oldest attempt in flight is overdue.
+func (w *work) overdueAt() time.Time {
+	return w.starts[0].Add(max(minOverdue, overdueFactor*w.limit.Latency()))
 }
 
 // route is the list of homes, valid for one group and count.
@@ -113,7 +134,7 @@
 		t.work = &work{warmup: warmup.New(t.contract.WarmAfter), limit: limit.New(t.contract.ColdSlots, r.Share)}
 	case r.IsHome:
 		t.work.limit = t.work.limit.WithMost(r.Share)
-	case t.work != nil && t.work.inFlight == 0:
+	case t.work != nil && t.work.inFlight() == 0:
 		t.work.queue.Refuse()
 		t.work = nil
 	}
@@ -139,14 +160,14 @@
 		return Slot{}, err
 	}
 	t.settle(now)
-	if t.work.inFlight < t.allowed(now) {
-		t.work.inFlight++
+	if t.work.inFlight() < t.allowed(now) {
+		t.work.start(now)
 		s := t.slot(now)
 		t.mu.Unlock()
 		return s, nil
 	}
 	deadline, _ := start.Deadline(ctx)
-	load := queue.Load{Limit: t.allowed(now), Service: t.work.limit.Latency()}
+	load := queue.Load{Limit: t.limit(now), Service: t.work.limit.Latency()}
 	w, err := t.work.queue.Enter(now, deadline, load)
 	t.mu.Unlock()
 	if err != nil {
@@ -155,27 +176,58 @@
 	return t.wait(ctx, w)
 }
 
+// wait ends when the waiter has ended, its deadline has passed or ctx has ended. When the oldest attempt
+// in flight becomes overdue meanwhile, one more may be sent.
 func (t *Target) wait(ctx context.Context, w *queue.Waiter) (Slot, error) {
-	timer := time.NewTimer(time.Until(w.Deadline()))
+	timer := time.NewTimer(t.nextCheck(w))
 	defer timer.Stop()
-	select {
-	case <-w.Ended():
-	case <-timer.C:
-	case <-ctx.Done():
+	for {
+		select {
+		case <-w.Ended():
+			return t.ended(ctx, w)
+		case <-ctx.Done():
+			return t.ended(ctx, w)
+		case <-timer.C:
+		}
+		if !time.Now().Before(w.Deadline()) {
+			return t.ended(ctx, w)
+		}
+		t.wake()
+		timer.Reset(t.nextCheck(w))
 	}
+}
+
+// nextCheck is the time until the waiter's deadline, or until the oldest attempt in flight is overdue.
+func (t *Target) nextCheck(w *queue.Waiter) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	at := w.Deadline()
+	if t.work == nil || t.work.inFlight() == 0 {
+		return at.Sub(now)
+	}
+	if overdue := t.work.overdueAt(); overdue.After(now) && overdue.Before(at) {
+		at = overdue
+	}
+	return at.Sub(now)
+}
+
+// ended gives the slot of a waiter that was granted one and may still send.
+func (t *Target) ended(ctx context.Context, w *queue.Waiter) (Slot, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
 	if t.work != nil && t.work.queue.Leave(w) {
 		return Slot{}, waitError(ctx, queue.MaxWait)
 	}
-	if !w.IsGranted() {
+	granted, ok := w.Granted()
+	if !ok {
 		return Slot{}, t.refusedWait(ctx, now)
 	}
-	if ctx.Err() == nil && t.refusal(now) == nil && t.work.inFlight <= t.allowed(now) {
-		return t.slot(now), nil
+	if ctx.Err() == nil && t.refusal(now) == nil && t.mayKeep(now) {
+		return t.slot(granted), nil
 	}
-	t.work.inFlight--
+	t.work.end(granted)
 	t.settle(now)
 	return Slot{}, t.refusedWait(ctx, now)
 }
@@ -210,8 +262,8 @@
 	return nil
 }
 
-// allowed is the number of requests that this home may have in flight now.
-func (t *Target) allowed(now time.Time) int {
+// limit is the number of requests that this home may have in flight now.
+func (t *Target) limit(now time.Time) int {
 	switch {
 	case t.work.warmup.Phase(now) == warmup.Warm:
 		return t.work.limit.Value()
@@ -221,6 +273,21 @@
 	return t.contract.ColdSlots
 }
 
+// allowed is the limit, and one more to a warm upstream while the oldest attempt in flight is overdue:
+// its connection may be silent, which only later attempts can tell.
+func (t *Target) allowed(now time.Time) int {
+	limit := t.limit(now)
+	if t.work.inFlight() > 0 && t.work.warmup.Phase(now) == warmup.Warm && !now.Before(t.work.overdueAt()) {
+		limit++
+	}
+	return limit
+}
+
+// mayKeep tells whether a slot that was granted a moment ago may still be used.
+func (t *Target) mayKeep(now time.Time) bool {
+	return t.work.warmup.Phase(now) == warmup.Warm || t.work.inFlight() <= t.limit(now)
+}
+
 // settle grants free slots to waiting requests, or refuses them if nothing may be sent any more.
 func (t *Target) settle(now time.Time) {
 	if t.work == nil {
@@ -230,86 +297,11 @@
 		t.work.queue.Refuse()
 		return
 	}
-	for t.work.inFlight < t.allowed(now) && t.work.queue.Grant(now) {
-		t.work.inFlight++
+	for t.work.inFlight() < t.allowed(now) && t.work.queue.Grant(now) {
+		t.work.start(now)
 	}
 }
 
-// Phase tells what this instance knows about the upstream's warmth at now.
-func (t *Target) Phase(now time.Time) warmup.Phase {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	switch {
-	case t.work != nil:
-		return t.work.warmup.Phase(now)
-	case t.toldWarm:
-		return warmup.Warm
-	}
-	return warmup.Cold
-}
-
-// Incarnation is the upstream's last one that this home knows.
-func (t *Target) Incarnation() string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.work == nil {
-		return ""
-	}
-	return t.work.warmup.Incarnation()
-}
-
-// IsDoubted tells whether this home itself saw the upstream become cold.
-func (t *Target) IsDoubted() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.work != nil && t.work.warmup.HasRestarted()
-}
-
-// IsCold tells whether the upstream is not known to be warm.
-func (t *Target) IsCold() bool { return t.Phase(time.Now()) != warmup.Warm }
-
-// IsOpen tells whether the upstream is neither leaving nor shedding at now.
-func (t *Target) IsOpen(now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return !t.departure.IsLeaving(now) && !now.Before(t.shedUntil)
-}
-
-// Busy is the number of requests in flight or waiting here, also those through other homes.
-func (t *Target) Busy() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.work == nil {
-		return t.relays
-	}
-	return t.work.inFlight + t.work.queue.Len() + t.relays
-}
-
-// Limit is the number of requests that this instance may have in flight to the upstream now.
-func (t *Target) Limit() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	if t.refusal(now) != nil {
-		return 0
-	}
-	return t.allowed(now)
-}
-
-// Latency is the weighted mean of recent service times.
-func (t *Target) Latency() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.latency
-}
-
-// Load is the share of its slots that the upstream last reported to be in use, 0 to 1.
-func (t *Target) Load() float64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.load
-}
-
 // note records what an answer or a notice tells besides its result.
 func (t *Target) note(now time.Time, s signal.Signal) {
 	if s.Leaving {
