--- a/internal/upstream/target/state.go
+++ b/internal/upstream/target/state.go
@@ -80,3 +80,14 @@
 	defer t.mu.Unlock()
 	return t.load
 }
+
+// Report is the load that the upstream last reported and the age of that report at now; the load is
+// negative if there was none.
+func (t *Target) Report(now time.Time) (load float64, age time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.reported.IsZero() {
+		return -1, 0
+	}
+	return t.load, now.Sub(t.reported)
+}
--- a/internal/upstream/target/target.go
+++ b/internal/upstream/target/target.go
@@ -52,6 +52,7 @@
 	departure departure.Departure
 	latency   time.Duration
 	load      float64
+	reported  time.Time
 	shedUntil time.Time
 	route     route
 }
@@ -312,6 +313,7 @@
 	}
 	if s.Load >= 0 {
 		t.load = s.Load
+		t.reported = now
 	}
 }
 
