fix: refuse before the dispatch what a warm upstream cannot answer in time

Cause: the tables' links returned only when the upstream had answered, so a canceled attempt kept its slot there by itself: breaking the run-out of attempts on cold upstreams failed no test. Change: the links of the rig end with the context; a waiter gives up while its answer could still be in time; a free slot of a warm upstream refuses what the recent service time makes late.

--- a/internal/upstream/dispatch/fleet_test.go
+++ b/internal/upstream/dispatch/fleet_test.go
@@ -230,12 +230,27 @@
 	node *node
 }
 
-// Part is held back while the node is paused.
+// Part is held back while the node is paused. It returns when ctx ends, and the server may work on.
 func (g gate) Part(ctx context.Context, q part.Request) (part.Reply, signal.Signal, error) {
 	g.node.await()
-	reply, sig, err := g.server.Part(ctx, q)
-	g.node.await()
-	return reply, sig, err
+	type answer struct {
+		reply part.Reply
+		sig   signal.Signal
+		err   error
+	}
+	answered := make(chan answer, 1)
+	go func() {
+		reply, sig, err := g.server.Part(ctx, q)
+		answered <- answer{reply, sig, err}
+	}()
+	select {
+	case a := <-answered:
+		g.node.await()
+		return a.reply, a.sig, a.err
+	case <-ctx.Done():
+		g.node.await()
+		return part.Reply{}, signal.Signal{Load: -1}, &failure.Failure{Upstream: g.name, Kind: failure.KindCanceled, Err: ctx.Err()}
+	}
 }
 
 // load sends a request to each server every interval, from one live node after the other.
--- a/internal/upstream/queue/queue.go
+++ b/internal/upstream/queue/queue.go
@@ -40,7 +40,8 @@
 // Granted is the time at which the ended waiter got a slot, and false if it was refused.
 func (w *Waiter) Granted() (time.Time, bool) { return w.granted, !w.granted.IsZero() }
 
-// Deadline is the time by which the waiter gives up.
+// Deadline is the time by which the waiter gives up: it has waited too long, or could no longer be
+// answered in time.
 func (w *Waiter) Deadline() time.Time { return w.deadline }
 
 // Load is the work ahead of a new request.
@@ -66,8 +67,8 @@
 	if late || wait > MaxWait || len(q.waiters) >= maxLength*limit {
 		return nil, &Error{Wait: wait, Length: len(q.waiters)}
 	}
-	if !deadline.IsZero() && deadline.Before(latest) {
-		latest = deadline
+	if start := deadline.Add(-l.Service); !deadline.IsZero() && start.Before(latest) {
+		latest = start // after that the deadline cannot be met
 	}
 	w := &Waiter{ended: make(chan struct{}), deadline: latest}
 	q.waiters = append(q.waiters, w)
--- a/internal/upstream/queue/queue_test.go
+++ b/internal/upstream/queue/queue_test.go
@@ -74,6 +74,13 @@
 	require.Equal(t, start.Add(queue.MaxWait), waiters[2].Deadline(), "waiting is bounded in time")
 }
 
+func TestWaitingLeavesTimeForTheAnswer(t *testing.T) {
+	var q queue.Queue
+	w, err := q.Enter(start, start.Add(5*service), queue.Load{Limit: 1, Service: service})
+	require.NoError(t, err)
+	require.Equal(t, start.Add(4*service), w.Deadline())
+}
+
 func TestRefuse(t *testing.T) {
 	var q queue.Queue
 	w, err := q.Enter(start, time.Time{}, queue.Load{Limit: 1})
--- a/internal/upstream/target/slot.go
+++ b/internal/upstream/target/slot.go
@@ -110,6 +110,7 @@
 		a := warmup.Answer{Epoch: s.epoch, Incarnation: r.Signal.Incarnation, ReportsCold: r.Signal.Cold, Took: took}
 		w.warmup = w.warmup.WithSuccess(now, a)
 		w.limit = w.limit.WithSuccess(now, took, w.inFlight())
+		w.answered = now
 		t.observe(took)
 	case failure.KindShed:
 		w.warmup = w.warmup.WithShed(now, s.epoch, r.Signal.Incarnation)
--- a/internal/upstream/target/target.go
+++ b/internal/upstream/target/target.go
@@ -28,6 +28,7 @@
 
 	overdueFactor = 8 // multiple of the recent service time from which an attempt is overdue
 	minOverdue    = 20 * time.Millisecond
+	maxSampleAge  = time.Second // age from which the recent service time refuses nothing
 )
 
 // Role is the part that this instance plays for an upstream under the present view.
@@ -63,6 +64,7 @@
 	limit     limit.Limit
 	queue     queue.Queue
 	starts    []time.Time // of the attempts in flight, oldest first
+	answered  time.Time   // the last success
 	heldUntil time.Time   // a new first home sends nothing before
 }
 
@@ -161,13 +163,18 @@
 		return Slot{}, err
 	}
 	t.settle(now)
+	deadline, bounded := start.Deadline(ctx)
+	if bounded && t.isTooLate(now, deadline) {
+		err := &queue.Error{Wait: t.work.limit.Latency()}
+		t.mu.Unlock()
+		return Slot{}, err
+	}
 	if t.work.inFlight() < t.allowed(now) {
 		t.work.start(now)
 		s := t.slot(now)
 		t.mu.Unlock()
 		return s, nil
 	}
-	deadline, _ := start.Deadline(ctx)
 	load := queue.Load{Limit: t.limit(now), Service: t.work.limit.Latency()}
 	w, err := t.work.queue.Enter(now, deadline, load)
 	t.mu.Unlock()
@@ -177,6 +184,13 @@
 	return t.wait(ctx, w)
 }
 
+// isTooLate tells whether the deadline cannot be met, as far as recent answers of a warm upstream tell.
+// To a cold one the attempt is sent all the same: it runs out without its caller and warms it.
+func (t *Target) isTooLate(now, deadline time.Time) bool {
+	isRecent := now.Sub(t.work.answered) < maxSampleAge && t.work.warmup.Phase(now) == warmup.Warm
+	return isRecent && now.Add(t.work.limit.Latency()).After(deadline)
+}
+
 // wait ends when the waiter has ended, its deadline has passed or ctx has ended. When the oldest attempt
 // in flight becomes overdue meanwhile, one more may be sent.
 func (t *Target) wait(ctx context.Context, w *queue.Waiter) (Slot, error) {
