--- a/internal/serve/instance/instance.go
+++ b/internal/serve/instance/instance.go
@@ -28,7 +28,6 @@
 	"crocuswing/internal/settings/process"
 	"crocuswing/internal/upstream/directory"
 	"crocuswing/internal/upstream/dispatch"
-	"crocuswing/internal/upstream/target"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -91,6 +90,7 @@
 	}
 	i.assemble()
 	i.gauges()
+	i.upstreamGauges()
 	return i
 }
 
@@ -100,7 +100,7 @@
 	i.peers = peers.New(s.Instance, s.Peers, i.contacts, i.revision, i.heardFrom)
 	i.follower = follower.New(self, reader.New(s.PlatformAddress), i.peers, i.contacts, i.log, i.update,
 		follower.WithSeeds(s.Peers), follower.WithCounter(i.metrics.Count))
-	sender := dispatch.New(s.Instance, i.follower, i.directory, i.peers, dispatch.WithObserver(i.changed))
+	sender := dispatch.New(s.Instance, i.follower, i.directory, i.peers, dispatch.WithObserver(i.changed), dispatch.WithRefusals(i.upstreamRefused))
 	i.dispatcher = sender
 	i.runner = run.New(sender, run.WithMeter(i.metrics), run.WithCurrent(i.follower.Current))
 	i.desk = desk.New(s.Instance, i.incarnation, []byte(s.TicketKey), i.flight.Sender(sender), i.peers, i)
@@ -158,12 +158,6 @@
 
 func (i *Instance) heardFrom(peer string, revision uint64) { i.follower.Heard(peer, revision) }
 
-// changed logs a change of an upstream's state.
-func (i *Instance) changed(upstream string, c target.Change) {
-	i.log.Info("upstream changed", zap.String("upstream", upstream), zap.String("incarnation", c.Incarnation),
-		zap.Bool("warm-up-began", c.Restarted), zap.Bool("warm-up-ended", c.Warmed), zap.Bool("leaving", c.Left))
-}
-
 func (i *Instance) listen() error {
 	if i.listeners.Caller != nil {
 		return nil
--- /dev/null
+++ b/internal/serve/instance/upstream.go
@@ -0,0 +1,33 @@
+package instance
+
+import (
+	"fmt"
+
+	"crocuswing/internal/upstream/target"
+
+	"go.uber.org/zap"
+)
+
+// changed logs and counts a change of an upstream's state.
+func (i *Instance) changed(upstream string, c target.Change) {
+	i.log.Info("upstream changed", zap.String("upstream", upstream), zap.String("incarnation", c.Incarnation),
+		zap.Bool("warm-up-began", c.Restarted), zap.Bool("warm-up-ended", c.Warmed), zap.Bool("leaving", c.Left))
+	for change, happened := range map[string]bool{"warm-up-began": c.Restarted, "warm-up-ended": c.Warmed, "leaving": c.Left} {
+		if happened {
+			i.metrics.Count(fmt.Sprintf("crocuswing_upstream_changes_total{change=%q}", change))
+		}
+	}
+}
+
+// upstreamRefused counts an attempt that got no slot of an upstream.
+func (i *Instance) upstreamRefused(reason string) {
+	i.metrics.Count(fmt.Sprintf("crocuswing_upstream_refusals_total{reason=%q}", reason))
+}
+
+// upstreamGauges registers the gauges of the upstreams of which this instance is a home.
+func (i *Instance) upstreamGauges() {
+	i.metrics.Gauge("crocuswing_upstream_homes", func() float64 { return float64(i.directory.Summary().Homes) })
+	i.metrics.Gauge("crocuswing_upstream_cold", func() float64 { return float64(i.directory.Summary().Cold) })
+	i.metrics.Gauge("crocuswing_upstream_in_flight", func() float64 { return float64(i.directory.Summary().InFlight) })
+	i.metrics.Gauge("crocuswing_upstream_waiting", func() float64 { return float64(i.directory.Summary().Waiting) })
+}
--- a/internal/upstream/directory/directory.go
+++ b/internal/upstream/directory/directory.go
@@ -136,6 +136,36 @@
 	return all
 }
 
+// Summary counts the upstreams that this instance knows.
+type Summary struct {
+	// Homes is the number of those of which it is a home.
+	Homes int
+	// Cold is the number of those homes that are not known to be warm.
+	Cold int
+	// InFlight and Waiting count the requests at and before those homes.
+	InFlight, Waiting int
+}
+
+// Summary is that of the present moment.
+func (d *Directory) Summary() Summary {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var s Summary
+	for _, e := range d.entries {
+		if e.link == nil {
+			continue
+		}
+		s.Homes++
+		if e.IsCold() {
+			s.Cold++
+		}
+		inFlight, waiting := e.Work()
+		s.InFlight += inFlight
+		s.Waiting += waiting
+	}
+	return s
+}
+
 // Update adds the upstreams that v names, drops the others, and gives this instance its role and
 // share for each. What did not change since the last update is not looked up again.
 func (d *Directory) Update(v view.View) {
--- a/internal/upstream/dispatch/attempt.go
+++ b/internal/upstream/dispatch/attempt.go
@@ -113,7 +113,7 @@
 	defer cancel()
 	slot, err := t.Acquire(ctx)
 	if err != nil {
-		return relay.Reply{}, notAcquired(q.Upstream, err)
+		return relay.Reply{}, d.notAcquired(q.Upstream, err)
 	}
 	if err := d.refresh(ctx, q.Upstream); err != nil {
 		t.Return(slot)
@@ -201,15 +201,17 @@
 }
 
 // notAcquired makes the failure of an attempt that got no slot; nothing was sent.
-func notAcquired(upstream string, err error) error {
+func (d *Dispatcher) notAcquired(upstream string, err error) error {
 	f := &failure.Failure{Upstream: upstream, Kind: failure.KindTimeout, NotRun: true, Err: err}
 	var refused *target.RefusedError
 	var full *queue.Error
 	switch {
 	case errors.As(err, &refused):
 		f.Kind, f.RetryAfter = failure.KindForbidden, refused.RetryAfter
+		d.refused(refused.Reason)
 	case errors.As(err, &full):
 		f.Kind, f.RetryAfter = failure.KindBusy, full.Wait
+		d.refused("the queue is full or the deadline too near")
 	case errors.Is(err, context.Canceled):
 		f.Kind = failure.KindCanceled
 	}
--- a/internal/upstream/dispatch/dispatch.go
+++ b/internal/upstream/dispatch/dispatch.go
@@ -40,6 +40,7 @@
 	directory *directory.Directory
 	relayer   Relayer
 	observe   Observer
+	refused   func(reason string)
 	hops      hops
 	notices   chan relay.Notice
 	detached  sync.WaitGroup // attempts that run on after their request has ended
@@ -53,6 +54,11 @@
 	return func(d *Dispatcher) { d.observe = o }
 }
 
+// WithRefusals tells the reason of each attempt that got no slot to count.
+func WithRefusals(count func(reason string)) Option {
+	return func(d *Dispatcher) { d.refused = count }
+}
+
 // New makes a dispatcher for the instance self.
 func New(self string, v Viewer, d *directory.Directory, r Relayer, options ...Option) *Dispatcher {
 	x := &Dispatcher{
@@ -61,6 +67,7 @@
 		directory: d,
 		relayer:   r,
 		observe:   func(string, target.Change) {},
+		refused:   func(string) {},
 		notices:   make(chan relay.Notice, noticeQueue),
 	}
 	for _, o := range options {
--- a/internal/upstream/target/state.go
+++ b/internal/upstream/target/state.go
@@ -56,6 +56,16 @@
 	return t.work.inFlight() + t.work.queue.Len() + t.relays
 }
 
+// Work is the number of requests that this home has in flight and that wait for a slot.
+func (t *Target) Work() (inFlight, waiting int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.work == nil {
+		return 0, 0
+	}
+	return t.work.inFlight(), t.work.queue.Len()
+}
+
 // Limit is the number of requests that this instance may have in flight to the upstream now.
 func (t *Target) Limit() int {
 	t.mu.Lock()
@@ -74,13 +84,6 @@
 	return t.latency
 }
 
-// Load is the share of its slots that the upstream last reported to be in use, 0 to 1.
-func (t *Target) Load() float64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.load
-}
-
 // Report is the load that the upstream last reported and the age of that report at now; the load is
 // negative if there was none.
 func (t *Target) Report(now time.Time) (load float64, age time.Duration) {
