--- a/internal/upstream/dispatch/fault_test.go
+++ b/internal/upstream/dispatch/fault_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"crocuswing/internal/upstream/failure"
 	"crocuswing/internal/upstream/target"
+	"crocuswing/internal/upstream/warmup"
 
 	"github.com/stretchr/testify/require"
 )
@@ -28,7 +30,8 @@
 	name      string
 	instances int // 4 if not set
 	servers   []string
-	warm      bool // the servers are warm before the fault
+	warm      bool           // the servers are warm before the fault
+	before    func(f *fleet) // happens before the load
 	load      load
 	fault     func(f *fleet)
 	check     func(t *testing.T, f *fleet, o outcome)
@@ -60,10 +63,17 @@
 				f.naive = naive
 				f.forget()
 			}
+			if c.before != nil {
+				c.before(f)
+			}
 			if c.fault != nil {
 				f.work.Go(func() { c.fault(f) })
 			}
-			check(t, f, f.run(c.load))
+			o := f.run(c.load)
+			s := f.servers["a"]
+			t.Logf("naive=%t sent=%d done=%d refused=%d lost=%d, first server: %+v, warm after %s",
+				naive, o.sent, o.done, o.refused, o.lost, s.counts(), s.warmAt.Sub(f.born))
+			check(t, f, o)
 		})
 	}
 }
@@ -102,6 +112,15 @@
 				require.GreaterOrEqual(t, float64(o.done), 0.9*float64(o.sent), "the report must slow it, not stop it")
 			},
 		},
+		{
+			name: "cold again while idle", servers: one, warm: true, before: restartWhileIdle, load: steady,
+			check: func(t *testing.T, f *fleet, _ outcome) {
+				require.Zero(t, f.servers["a"].counts().overload, "old evidence proves nothing")
+				require.False(t, f.servers["a"].warmAt.IsZero(), "it never became warm again")
+			},
+			naive: fallsOver,
+		},
+		{name: "first home changes in warm-up", servers: one, load: steady, fault: changeFirst, check: warmsWithin(warmBound + target.Handover)},
 		{name: "first home lost in warm-up", servers: one, load: steady, fault: loseFirst, check: warmsWithin(warmBound + time.Second + target.Handover)},
 		{name: "first home paused in warm-up", servers: one, load: steady, fault: pauseFirst, check: warmsWithin(warmBound + 2*time.Second)},
 		{
@@ -149,19 +168,29 @@
 	}
 }
 
+// restartWhileIdle gives no home a sign: nothing is in flight.
+func restartWhileIdle(f *fleet) {
+	time.Sleep(warmup.EvidenceAge + time.Second)
+	f.servers["a"].restart()
+}
+
+// changeFirst lists the first home as gone in the warm-up, while it still runs and reads the list.
+func changeFirst(f *fleet) {
+	time.Sleep(2 * coldFactor * serviceTime)
+	f.publishTo(f.instances(), without(f.instances(), f.first("a").name), nil)
+}
+
+func without(names []string, name string) []string {
+	return slices.DeleteFunc(names, func(other string) bool { return other == name })
+}
+
 // loseFirst ends the first home in the warm-up; the list lags by a second.
 func loseFirst(f *fleet) {
 	time.Sleep(2 * coldFactor * serviceTime)
 	lost := f.first("a")
 	lost.gone.Store(true)
 	time.Sleep(time.Second)
-	var left []string
-	for _, name := range f.instances() {
-		if name != lost.name {
-			left = append(left, name)
-		}
-	}
-	f.publish(left, nil)
+	f.publish(without(f.instances(), lost.name), nil)
 }
 
 func pauseFirst(f *fleet) {
