feat: fair admission with a short queue and a budget for repeats

Cause: admission counted each caller by itself and only refused: nothing was shared between callers, a burst of a few milliseconds was refused, and blind repeats all went on to upstreams.

Change: the callers of a class share its capacity by start-time fair queueing, wait a bounded time in a bounded queue, and pay for repeats of requests that ended without a whole answer from a budget that first requests earn. Refusals state a wait with jitter.

--- a/internal/entry/handler/handler.go
+++ b/internal/entry/handler/handler.go
@@ -26,10 +26,7 @@
 	"crocuswing/internal/wire/header"
 )
 
-const (
-	maxBodyBytes      = 1 << 20
-	retryAfterSeconds = "1"
-)
+const maxBodyBytes = 1 << 20
 
 // Viewer gives a view that is fresh enough for new work.
 type Viewer interface {
@@ -53,7 +50,7 @@
 func New(v Viewer, r *run.Runner, d *desk.Desk, m *metric.Metrics, prefix string) *Handler {
 	h := &Handler{
 		viewer:    v,
-		admission: admission.New(),
+		admission: admission.New(admission.WithObserver(countAdmissions(m))),
 		runner:    r,
 		desk:      d,
 		metrics:   m,
@@ -154,12 +151,15 @@
 	if s, ok := q.view.Config().Service(rq.Service); ok && rq.Key == "" {
 		cost = len(s.Current().Shards)
 	}
-	release, err := h.admission.Admit(q.caller.Name, q.class, cost)
+	grant, err := h.admit(q, cost, keyOf(rq))
 	if err != nil {
 		return nil, err
 	}
-	defer release()
-	return h.runner.Run(q.Context(), q.view, rq)
+	whole := false
+	defer func() { grant.Release(whole) }()
+	a, err := h.runner.Run(q.Context(), q.view, rq)
+	whole = err == nil && a.Coverage.Answered == a.Coverage.Total
+	return a, err
 }
 
 func (h *Handler) mint(q request) (any, error) {
@@ -182,11 +182,11 @@
 	if err := readJSON(q, &m); err != nil {
 		return nil, err
 	}
-	release, err := h.admission.Admit(q.caller.Name, q.class, 1)
+	grant, err := h.admit(q, 1, bareKey)
 	if err != nil {
 		return nil, err
 	}
-	defer release()
+	defer grant.Release(true)
 	return h.desk.Place(q.Context(), q.view, desk.Placement{
 		Ticket:  m.Ticket,
 		Caller:  q.caller.Name,
@@ -202,9 +202,7 @@
 
 func (h *Handler) refuse(w http.ResponseWriter, id string, err error) {
 	status := statusOf(err)
-	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", retryAfterSeconds)
-	}
+	setRetryAfter(w.Header(), status, err)
 	writeJSON(w, status, call.Refusal{RequestID: id, Outcome: outcome.NotRun, Reason: err.Error()})
 }
 
