--- a/internal/entry/handler/handler.go
+++ b/internal/entry/handler/handler.go
@@ -18,8 +18,8 @@
 	"crocuswing/internal/operator/metric"
 	"crocuswing/internal/order/desk"
 	"crocuswing/internal/order/outcome"
-	"crocuswing/internal/order/table"
-	"crocuswing/internal/order/ticket"
+	"crocuswing/internal/query/answer"
+	"crocuswing/internal/query/flight"
 	"crocuswing/internal/query/plan"
 	"crocuswing/internal/query/run"
 	"crocuswing/internal/wire/call"
@@ -39,6 +39,7 @@
 	viewer    Viewer
 	admission *admission.Admission
 	runner    *run.Runner
+	flight    *flight.Flight
 	desk      *desk.Desk
 	metrics   *metric.Metrics
 	prefix    string
@@ -52,6 +53,7 @@
 		viewer:    v,
 		admission: admission.New(admission.WithObserver(countAdmissions(m))),
 		runner:    r,
+		flight:    flight.New(),
 		desk:      d,
 		metrics:   m,
 		prefix:    prefix,
@@ -60,8 +62,9 @@
 	h.mux.HandleFunc("POST /v1/search", h.serve("search", h.search))
 	h.mux.HandleFunc("POST /v1/lookup", h.serve("lookup", h.lookup))
 	h.mux.HandleFunc("POST /v1/tickets", h.serve("ticket", h.mint))
-	h.mux.HandleFunc("POST /v1/orders", h.serve("order", h.place))
-	h.mux.HandleFunc("GET /v1/orders/{ticket}", h.serve("ask", h.ask))
+	h.mux.HandleFunc("POST /v1/orders", h.placeOrder)
+	h.mux.HandleFunc("GET /v1/orders/{ticket}", h.serveTicket("ask", h.ask))
+	h.mux.HandleFunc("DELETE /v1/orders/{ticket}", h.serveTicket("withdraw", h.withdraw))
 	return h
 }
 
@@ -85,8 +88,14 @@
 
 func (e *refusal) Error() string { return e.reason }
 
-// serve identifies the caller, pins the view and answers with JSON.
+// serve answers with JSON. A refusal states that nothing was run.
 func (h *Handler) serve(kind string, answer func(request) (any, error)) http.HandlerFunc {
+	return h.serveRefusing(outcome.NotRun, kind, answer)
+}
+
+// serveRefusing identifies the caller, pins the view and answers with JSON. A refusal that
+// brings no outcome of its own states the given one.
+func (h *Handler) serveRefusing(state, kind string, answer func(request) (any, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		start := time.Now()
 		id := r.Header.Get(header.RequestID)
@@ -96,19 +105,19 @@
 		w.Header().Set(header.RequestID, id)
 		ctx, cancel, err := withDeadline(r)
 		if err != nil {
-			h.refuse(w, id, err)
+			h.refuse(w, id, state, err)
 			return
 		}
 		defer cancel()
 		q, err := h.identify(r.WithContext(ctx), id)
 		if err != nil {
-			h.refuse(w, id, err)
+			h.refuse(w, id, state, err)
 			return
 		}
 		value, err := answer(q)
 		h.metrics.Observe(q.caller.Name, q.class.Name, kind, time.Since(start), err == nil)
 		if err != nil {
-			h.refuse(w, id, err)
+			h.refuse(w, id, state, err)
 			return
 		}
 		writeJSON(w, http.StatusOK, value)
@@ -129,7 +138,7 @@
 
 func (h *Handler) search(q request) (any, error) {
 	var m call.Search
-	if err := readJSON(q, &m); err != nil {
+	if err := readJSON(q.Request, &m); err != nil {
 		return nil, err
 	}
 	return h.query(q, run.Query{RequestID: q.id, Service: m.Service, Query: m.Query})
@@ -137,7 +146,7 @@
 
 func (h *Handler) lookup(q request) (any, error) {
 	var m call.Lookup
-	if err := readJSON(q, &m); err != nil {
+	if err := readJSON(q.Request, &m); err != nil {
 		return nil, err
 	}
 	if m.Key == "" {
@@ -157,70 +166,46 @@
 	}
 	whole := false
 	defer func() { grant.Release(whole) }()
-	a, err := h.runner.Run(q.Context(), q.view, rq)
+	k := flight.Key{
+		Caller:   q.caller.Name,
+		Revision: q.view.Config().Revision(),
+		Service:  rq.Service,
+		Query:    rq.Query,
+		Key:      rq.Key,
+	}
+	a, err := h.flight.Do(q.Context(), k, q.view.Config().Preset().Deadline(), func(ctx context.Context) (answer.Answer, error) {
+		return h.runner.Run(ctx, q.view, rq)
+	})
 	whole = err == nil && a.Coverage.Answered == a.Coverage.Total
+	a.RequestID = q.id
 	return a, err
 }
 
-func (h *Handler) mint(q request) (any, error) {
-	var m call.TicketRequest
-	if err := readJSON(q, &m); err != nil {
-		return nil, err
-	}
-	if _, ok := q.view.Config().Service(m.Service); !ok {
-		return nil, &refusal{status: http.StatusNotFound, reason: "there is no service " + m.Service}
-	}
-	text, expires, err := h.desk.Mint(q.caller.Name, m.Service, time.Now())
-	if err != nil {
-		return nil, err
-	}
-	return call.Ticket{Ticket: text, ExpiresMS: expires.UnixMilli()}, nil
-}
-
-func (h *Handler) place(q request) (any, error) {
-	var m call.Order
-	if err := readJSON(q, &m); err != nil {
-		return nil, err
-	}
-	grant, err := h.admit(q, 1, bareKey)
-	if err != nil {
-		return nil, err
-	}
-	defer grant.Release(true)
-	return h.desk.Place(q.Context(), q.view, desk.Placement{
-		Ticket:  m.Ticket,
-		Caller:  q.caller.Name,
-		Service: m.Service,
-		Key:     m.Key,
-		Body:    m.Body,
-	})
-}
-
-func (h *Handler) ask(q request) (any, error) {
-	return h.desk.Place(q.Context(), q.view, desk.Placement{Ticket: q.PathValue("ticket"), Caller: q.caller.Name, Ask: true})
-}
-
-func (h *Handler) refuse(w http.ResponseWriter, id string, err error) {
+func (h *Handler) refuse(w http.ResponseWriter, id, state string, err error) {
 	status := statusOf(err)
 	setRetryAfter(w.Header(), status, err)
-	writeJSON(w, status, call.Refusal{RequestID: id, Outcome: outcome.NotRun, Reason: err.Error()})
+	m := call.Refusal{RequestID: id, Outcome: state, Reason: err.Error(), NotForwarded: state == outcome.Unknown}
+	var refused *orderRefusal
+	if errors.As(err, &refused) {
+		m.Outcome = refused.State
+		m.Reference = refused.Reference
+		m.NotForwarded = refused.NotForwarded
+	}
+	writeJSON(w, status, m)
 }
 
 func statusOf(err error) int {
 	var r *refusal
 	var overload *admission.Error
-	var badTicket *ticket.Error
-	var badOrder *table.Error
+	var order *orderRefusal
 	var noService *plan.ServiceError
 	switch {
 	case errors.As(err, &r):
 		return r.status
 	case errors.As(err, &overload):
 		return http.StatusTooManyRequests
-	case errors.As(err, &badTicket):
-		return http.StatusForbidden
-	case errors.As(err, &badOrder):
-		return http.StatusConflict
+	case errors.As(err, &order):
+		return order.status()
 	case errors.As(err, &noService):
 		return http.StatusNotFound
 	}
@@ -242,8 +227,8 @@
 	return ctx, cancel, nil
 }
 
-func readJSON(q request, v any) error {
-	dec := json.NewDecoder(http.MaxBytesReader(nil, q.Body, maxBodyBytes))
+func readJSON(r *http.Request, v any) error {
+	dec := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: "body: " + err.Error()}
--- a/internal/standin/network/conn.go
+++ b/internal/standin/network/conn.go
@@ -157,8 +157,8 @@
 	if s.timer != nil {
 		s.timer.Stop()
 	}
-	if !t.IsZero() {
-		s.timer = time.AfterFunc(time.Until(t), s.changed.Broadcast)
+	if left := time.Until(t); !t.IsZero() && left > 0 {
+		s.timer = time.AfterFunc(left, s.changed.Broadcast)
 	}
 	s.changed.Broadcast()
 }
--- a/internal/upstream/link/exchange.go
+++ b/internal/upstream/link/exchange.go
@@ -14,6 +14,7 @@
 	"crocuswing/internal/upstream/failure"
 	"crocuswing/internal/upstream/signal"
 	"crocuswing/internal/upstream/silence"
+	"crocuswing/internal/upstream/start"
 	"crocuswing/internal/wire/header"
 	"crocuswing/internal/wire/part"
 )
@@ -66,7 +67,7 @@
 	req.ContentLength = int64(len(text))
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(header.RequestID, x.id)
-	if deadline, ok := ctx.Deadline(); ok {
+	if deadline, ok := start.Deadline(ctx); ok {
 		left := max(time.Until(deadline).Milliseconds(), 1)
 		req.Header.Set(header.DeadlineMS, strconv.FormatInt(left, 10))
 	}
