feat: metrics of links and log of broken peer connections

Cause: nothing showed how many connections are open, abandoned or refused by peers. Change: gauges summed over the present links, a counter of broken peer connections by cause and one log line for each that breaks the protocol.

--- a/internal/serve/instance/instance.go
+++ b/internal/serve/instance/instance.go
@@ -105,6 +105,7 @@
 	i.runner = run.New(sender, run.WithMeter(i.metrics), run.WithCurrent(i.follower.Current))
 	i.desk = desk.New(s.Instance, i.incarnation, []byte(s.TicketKey), i.flight.Sender(sender), i.peers, i)
 	i.measureOrders()
+	i.measureLinks()
 }
 
 // Run serves until ctx ends, then finishes what is in flight and returns nil.
@@ -119,7 +120,7 @@
 	handler := i.flight.Handler(entry.New(i, i.runner, i.desk, i.metrics, prefix))
 	callers := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	operators := &http.Server{Handler: operator.New(i, i.metrics), ReadHeaderTimeout: headerTimeout}
-	peerCalls := server.New(i.methods(), i.revision, i.heard)
+	peerCalls := server.New(i.methods(), i.revision, i.heard, server.WithBroken(i.peerBroke))
 
 	var group errgroup.Group
 	group.Go(func() error { i.follower.Run(background); return nil })
--- /dev/null
+++ b/internal/upstream/directory/stats.go
@@ -0,0 +1,16 @@
+package directory
+
+import "crocuswing/internal/upstream/link"
+
+// LinkStats sums the counts of the present links.
+func (d *Directory) LinkStats() link.Stats {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var sum link.Stats
+	for _, e := range d.entries {
+		if l, ok := e.link.(*link.Link); ok {
+			sum = sum.Add(l.Stats())
+		}
+	}
+	return sum
+}
--- a/internal/upstream/link/link.go
+++ b/internal/upstream/link/link.go
@@ -69,6 +69,11 @@
 	Crossed int64
 }
 
+// Add sums two stats.
+func (s Stats) Add(o Stats) Stats {
+	return Stats{Stats: s.Stats.Add(o.Stats), Crossed: s.Crossed + o.Crossed}
+}
+
 // New makes a link with at most connections open connections to address, an IP literal and a port.
 func New(name, address string, connections int, with ...Option) *Link {
 	o := options{dial: dialTCP, lost: func() {}}
