test: contract samples of the peer protocol, and two mutations that survived

Cause: the abandonment after a single other answer, and an early end of a connection's count where the close cannot be confirmed, passed all tests. Change: rows for both; the protocol's page, whose frames a test holds to the writer.

--- a/internal/peer/frame/frame_test.go
+++ b/internal/peer/frame/frame_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"testing"
 
@@ -51,6 +52,18 @@
 	}
 }
 
+// TestContractSamples holds the writer to the frames printed in the contract.
+func TestContractSamples(t *testing.T) {
+	text, err := os.ReadFile("../../../docs/contracts/peer.md")
+	require.NoError(t, err)
+	for _, messages := range [][]Message{
+		{{Kind: KindCall, ID: 1, Value: 240_000, Method: "relay", Body: []byte("\xa1x")}, {Kind: KindPing}},
+		{{Kind: KindCredit, Value: 4096}},
+	} {
+		require.Contains(t, string(text), fmt.Sprintf("    % x\n", encode(t, 42, messages...)))
+	}
+}
+
 // TestBodiesOutliveTheNextRead holds bodies while the reader goes on.
 func TestBodiesOutliveTheNextRead(t *testing.T) {
 	var stream []byte
--- a/internal/upstream/connection/connection_test.go
+++ b/internal/upstream/connection/connection_test.go
@@ -47,17 +47,23 @@
 	for _, c := range []struct {
 		name   string
 		silent bool
+		whole  bool // the connection cannot be closed in one direction
 		want   time.Duration
 	}{
 		{name: "upstream closes its end", want: delay},
 		{name: "upstream does not answer", silent: true, want: LingerTime},
+		{name: "close cannot be confirmed", whole: true, want: LingerTime},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				near, far := network.Pipe("u")
+				memory, far := network.Pipe("u")
 				if c.silent {
 					far.Silence()
 				}
+				var near net.Conn = memory
+				if c.whole {
+					near = struct{ net.Conn }{memory} // hides CloseWrite
+				}
 				gone := make(chan time.Time, 1)
 				start := time.Now()
 				conn := New(near, func() { gone <- time.Now() }, func() { t.Error("the close is not the upstream's") })
--- a/internal/upstream/link/link_test.go
+++ b/internal/upstream/link/link_test.go
@@ -155,8 +155,9 @@
 				if c.naive {
 					r.patience = untilDeadline
 				}
-				stop := r.load(c.share-1, deadline)
+				stop := r.load(c.share, deadline) // one more than the pool opens: it holds one back
 				time.Sleep(200 * time.Millisecond)
+				require.Equal(t, c.share-1, r.Stats().Counted)
 				for _, conn := range r.listener.Conns()[:c.silent] {
 					conn.Silence()
 				}
@@ -170,6 +171,7 @@
 					require.EqualValues(t, deadline, r.slowest.Load())
 					return
 				}
+				require.Equal(t, c.share, r.Stats().Counted, "the one held back replaces an abandoned one")
 				require.Equal(t, c.silent, kinds[failure.KindSilent])
 				require.Zero(t, kinds[failure.KindTimeout])
 				require.Less(t, r.slowest.Load(), int64(deadline/5))
--- a/internal/upstream/silence/silence_test.go
+++ b/internal/upstream/silence/silence_test.go
@@ -18,7 +18,7 @@
 	}{
 		{name: "others move on", later: 40, want: true},
 		{name: "bytes arrive slowly", later: 40, received: 1},
-		{name: "few others answered", later: minPassed - 1},
+		{name: "few others answered", later: 2},
 		{name: "nothing else runs", later: 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
