perf: fewer allocations on a call between instances

Cause: each call grew queues anew and allocated for an error that it did not have. Change: queues keep their space, calls with credit skip the waiting list, calls in flight are values.

--- a/internal/peer/client/client.go
+++ b/internal/peer/client/client.go
@@ -100,6 +100,9 @@
 			return frame.Message{}, &UnsentError{Err: err}
 		}
 		got, err := conn.call(ctx, m)
+		if err == nil {
+			return got, nil
+		}
 		var unsent *UnsentError
 		if again && errors.As(err, &unsent) && conn.isClosed() && ctx.Err() == nil {
 			continue
--- a/internal/peer/client/connection.go
+++ b/internal/peer/client/connection.go
@@ -92,26 +92,38 @@
 		c.lastHeard = time.Now() // silence counts from the first call in flight
 		c.tick.Reset(pingAfter)
 	}
+	if len(c.waiting) == 0 && c.suffices(k) {
+		c.launch(k)
+		return nil
+	}
 	c.waiting = append(c.waiting, k)
-	c.spend()
 	return nil
 }
 
-// spend queues the waiting calls as far as the credit goes. One above the whole credit goes alone.
+// suffices tells whether the credit pays for k. A call above the whole credit goes alone.
+func (c *connection) suffices(k *call) bool {
+	return c.granted > 0 && (c.credit >= k.Units() || c.credit == c.granted)
+}
+
+// spend queues the waiting calls as far as the credit goes.
 func (c *connection) spend() {
-	for len(c.waiting) > 0 && c.granted > 0 && (c.credit >= c.waiting[0].Units() || c.credit == c.granted) {
-		k := c.waiting[0]
+	for len(c.waiting) > 0 && c.suffices(c.waiting[0]) {
+		c.launch(c.waiting[0])
 		c.waiting[0] = nil
 		c.waiting = c.waiting[1:]
-		c.credit -= k.Units()
-		c.next++
-		k.ID = c.next
-		k.state = stateQueued
-		c.calls[k.ID] = k
-		c.enqueue(k)
 	}
 }
 
+// launch pays for k and queues it.
+func (c *connection) launch(k *call) {
+	c.credit -= k.Units()
+	c.next++
+	k.ID = c.next
+	k.state = stateQueued
+	c.calls[k.ID] = k
+	c.enqueue(k)
+}
+
 func (c *connection) enqueue(k *call) {
 	c.queue = append(c.queue, k)
 	select {
@@ -196,10 +208,11 @@
 		size += len(k.Body)
 		batch = append(batch, k.Message)
 	}
-	c.queue = c.queue[taken:]
-	if len(c.queue) == 0 {
-		c.queue = nil
+	if taken == len(c.queue) {
+		c.queue = c.queue[:0] // its space serves again
+		return batch
 	}
+	c.queue = c.queue[taken:]
 	return batch
 }
 
--- a/internal/peer/frame/frame_test.go
+++ b/internal/peer/frame/frame_test.go
@@ -108,31 +108,37 @@
 		changed[at] = b
 		return changed
 	}
-	long := bytes.Clone(whole)
+	long := append(bytes.Clone(whole), make([]byte, MaxBytes)...)
 	binary.BigEndian.PutUint32(long, MaxBytes+1)
 	extra := append(bytes.Clone(whole), 0)
 	binary.BigEndian.PutUint32(extra, uint32(len(extra)-prefixBytes))
-	claims := append([]byte{0, 0, 0, 6, Version}, 0x01, 0xdd, 0xff, 0xff, 0xff, 0xff)
+	const pings = MaxMessages + 1
+	many := append([]byte{0, 0, 0, 0, Version, 0x01, 0xdc, pings >> 8, pings & 0xff}, bytes.Repeat([]byte{KindPing, 0, 0, 0xa0, 0xc0}, pings)...)
+	binary.BigEndian.PutUint32(many, uint32(len(many)-prefixBytes))
 	return map[string][]byte{
-		"oversized":        long,
-		"length of zero":   {0, 0, 0, 0, Version},
-		"version":          change(4, Version+1),
-		"truncated prefix": whole[:3],
-		"truncated body":   whole[:len(whole)-1],
-		"unknown kind":     change(prefixBytes+2, lastKind+1),
-		"extra bytes":      extra,
-		"count too high":   claims,
-		"other protocol":   []byte("GET / HTTP/1.1\r\n\r\n"),
-		"garbage":          {0, 0, 0, 4, Version, 0xc1, 0xc1, 0xc1, 0xc1},
+		"oversized":         long,
+		"length of zero":    {0, 0, 0, 0, Version},
+		"version":           change(4, Version+1),
+		"truncated prefix":  whole[:3],
+		"truncated body":    whole[:len(whole)-1],
+		"unknown kind":      change(prefixBytes+2, lastKind+1),
+		"extra bytes":       extra,
+		"too many messages": many,
+		"other protocol":    []byte("GET / HTTP/1.1\r\n\r\n"),
+		"garbage":           {0, 0, 0, 4, Version, 0xc1, 0xc1, 0xc1, 0xc1},
 	}
 }
 
 func TestReaderRefuses(t *testing.T) {
 	for name, text := range faults(t) {
 		t.Run(name, func(t *testing.T) {
-			_, err := NewReader(bytes.NewReader(text)).Read()
+			rest := bytes.NewReader(text)
+			_, err := NewReader(rest).Read()
 			var e *Error
 			require.ErrorAs(t, err, &e)
+			if name == "oversized" {
+				require.Equal(t, len(text)-prefixBytes, rest.Len(), "none of the body is read")
+			}
 		})
 	}
 }
--- a/internal/peer/server/session.go
+++ b/internal/peer/server/session.go
@@ -37,7 +37,7 @@
 
 	mu      sync.Mutex
 	used    int64 // credit of the calls that are not answered
-	running map[uint64]*running
+	running map[uint64]running
 	queue   []outgoing
 	closed  bool
 }
@@ -55,7 +55,7 @@
 }
 
 func newSession(s *Server, raw net.Conn) *session {
-	c := &session{server: s, raw: raw, wake: make(chan struct{}, 1), running: make(map[uint64]*running)}
+	c := &session{server: s, raw: raw, wake: make(chan struct{}, 1), running: make(map[uint64]running)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
@@ -144,7 +144,7 @@
 		return &frame.Error{Reason: "call has the ID of another one in flight"}
 	}
 	c.used += units
-	c.running[m.ID] = &running{units: units, cancel: cancel}
+	c.running[m.ID] = running{units: units, cancel: cancel}
 	return nil
 }
 
@@ -251,10 +251,11 @@
 		n++
 	}
 	clear(c.queue[:n])
-	c.queue = c.queue[n:]
-	if len(c.queue) == 0 {
-		c.queue = nil
+	if n == len(c.queue) {
+		c.queue = c.queue[:0] // its space serves again
+		return batch
 	}
+	c.queue = c.queue[n:]
 	return batch
 }
 
