fix: a link opened again counts the connections that it had before

Cause: an instance that lost and regained a home, or saw an upstream's address change, opened a fresh link with its whole share while requests in flight and silent connections of the former link still counted at the upstream. Change: a registry keeps closed links until their connections are gone and opens them again. Figures: with a share of 4, requests in flight and silent connections before the change, never more than 4 count (synctest).

--- a/internal/upstream/directory/directory.go
+++ b/internal/upstream/directory/directory.go
@@ -12,7 +12,7 @@
 	"crocuswing/internal/fleet/view"
 	"crocuswing/internal/upstream/contract"
 	"crocuswing/internal/upstream/home"
-	"crocuswing/internal/upstream/link"
+	"crocuswing/internal/upstream/registry"
 	"crocuswing/internal/upstream/signal"
 	"crocuswing/internal/upstream/target"
 	"crocuswing/internal/wire/order"
@@ -83,6 +83,10 @@
 
 // New makes an empty directory for the instance self.
 func New(self string, options ...Option) *Directory {
+	links := registry.New()
+	openLink := func(name, address string, connections int, lost func()) Link {
+		return links.Open(name, address, connections, lost)
+	}
 	d := &Directory{self: self, open: openLink, ranking: home.New(nil), entries: make(map[string]*entry)}
 	for _, o := range options {
 		o(d)
@@ -90,10 +94,6 @@
 	return d
 }
 
-func openLink(name, address string, connections int, lost func()) Link {
-	return link.New(name, address, connections, link.WithLost(lost))
-}
-
 // Target finds the running state of an upstream.
 func (d *Directory) Target(upstream string) (*target.Target, bool) {
 	d.mu.RLock()
--- a/internal/upstream/link/link.go
+++ b/internal/upstream/link/link.go
@@ -93,6 +93,15 @@
 // Close closes the idle connections; those in use close when their request ends.
 func (l *Link) Close() { l.pool.Close() }
 
+// Reopen opens a closed link again, at an address that may have changed. The connections that it had
+// count against the new share until the upstream has closed them.
+func (l *Link) Reopen(address string, connections int, lost func()) {
+	l.pool.Reopen(address, connections, lost)
+}
+
+// IsDrained tells whether the link is closed and the upstream has closed all its connections.
+func (l *Link) IsDrained() bool { return l.pool.IsDrained() }
+
 // Move follows the upstream to another address. Connections to the former one count until closed.
 func (l *Link) Move(address string) { l.pool.Move(address) }
 
--- a/internal/upstream/pool/pool.go
+++ b/internal/upstream/pool/pool.go
@@ -201,6 +201,27 @@
 	p.fill()
 }
 
+// Reopen undoes Close, with a new address, share and observer of lost connections. Those of before
+// count until the upstream has closed them.
+func (p *Pool) Reopen(address string, share int, lost func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = false
+	p.leaving = false
+	p.leavingTil = time.Time{}
+	p.address = address
+	p.generation++
+	p.share = max(1, share)
+	p.lost = lost
+}
+
+// IsDrained tells whether the pool is closed and no connection counts any more.
+func (p *Pool) IsDrained() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed && p.counted() == 0
+}
+
 // Address is the present address.
 func (p *Pool) Address() string {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/upstream/registry/registry_test.go
@@ -0,0 +1,80 @@
+package registry
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"crocuswing/internal/standin/network"
+	"crocuswing/internal/upstream/connection"
+	"crocuswing/internal/upstream/link"
+	"crocuswing/internal/wire/part"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestReopened closes a link that has requests in flight, some on silent connections, and opens it
+// again: what the upstream may still count stays within the share.
+func TestReopened(t *testing.T) {
+	const here, there = "10.0.0.1:80", "10.0.0.2:80"
+	for _, c := range []struct {
+		name, next string
+		silent     bool
+	}{
+		{name: "same address", next: here},
+		{name: "other address", next: there},
+		{name: "silent", next: there, silent: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const share = 4
+				net := network.New(time.Millisecond)
+				slow := func(_ http.ResponseWriter, r *http.Request) {
+					select {
+					case <-time.After(time.Second):
+					case <-r.Context().Done():
+					}
+				}
+				server := &http.Server{Handler: http.HandlerFunc(slow)}
+				first := net.Listen(here, 100)
+				for _, l := range []*network.Listener{first, net.Listen(there, 100)} {
+					go func() { _ = server.Serve(l) }()
+				}
+				r := New(link.WithDial(net.Dial))
+				l := r.Open("u", here, share, func() {})
+				load := func() {
+					for range 10 {
+						go func() {
+							ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+							defer cancel()
+							_, _, _ = l.Part(ctx, part.Request{RequestID: "q"})
+						}()
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				load()
+				require.Equal(t, share-1, l.Stats().Counted)
+				if c.silent {
+					for _, conn := range first.Conns() {
+						conn.Silence()
+					}
+				}
+				l.Close()
+				require.Same(t, l, r.Open("u", c.next, share, func() {}))
+				load()
+				require.LessOrEqual(t, l.Stats().Counted, share)
+				time.Sleep(time.Second) // all requests timed out
+				load()
+				require.LessOrEqual(t, l.Stats().Counted, share)
+				l.Close()
+				time.Sleep(2 * connection.LingerTime)
+				require.True(t, l.IsDrained())
+				require.NotSame(t, l, r.Open("u", here, share, func() {}))
+				_ = server.Close()
+				time.Sleep(2 * connection.LingerTime)
+			})
+		})
+	}
+}
