test: hold pauses, lone instances, frames and refusals to their promises

Breaking each mechanism by hand showed promises that no test held: answers that vouch from their arrival, a stale copy that confirms, frames that are not followed up, the end of a suspicion, a cut-short stop. They have tests now. A change that does not lead to its digest is read whole before it counts as refused.

--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,18 +81,23 @@
 	})
 }
 
-// TestPause stops an instance for 30 s across a change. Answers that waited in it meanwhile must not
-// make its old view look fresh.
+// TestPause stops an instance for 30 s across a change, at any point of its work or with a peer's answer
+// under way. Answers that waited in it meanwhile must not make its old view look fresh.
 func TestPause(t *testing.T) {
-	for n := range 8 {
+	for n := range 16 {
 		inFleet(t, func(t *testing.T, r *rig) {
-			time.Sleep(time.Duration(n) * 137 * time.Millisecond) // stop at another point of its work
-			paused := r.nodes[n]
-			paused.pause(true)
+			time.Sleep(time.Duration(n) * 137 * time.Millisecond)
+			paused := r.nodes[n%8]
+			if n < 8 {
+				paused.pause(true)
+			}
+			paused.faint.Store(n >= 8)
+			time.Sleep(3 * time.Second)
 			revision := r.publish(out("d0", true))
 			time.Sleep(30 * time.Second)
 			require.Equal(t, uint64(1), paused.Current().Config().Revision())
 			paused.pause(false)
+			synctest.Wait() // what waited in it is taken first
 			v, err := paused.Fresh(context.Background())
 			require.NoError(t, err)
 			require.Equal(t, revision, v.Config().Revision())
@@ -99,6 +105,46 @@
 	}
 }
 
+// TestAlone leaves an instance alone with a platform that cannot confirm its view.
+func TestAlone(t *testing.T) {
+	for _, mode := range []int{modeDown, modeStale, modeConflict} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig()
+			defer r.close()
+			r.addListed(1, "d0")
+			r.setMode(modeFlapping) // holds the older copy back
+			r.publish(out("d1", true))
+			r.setMode(modeUp)
+			time.Sleep(4 * time.Second)
+			require.Empty(t, r.lagging(2))
+			r.setMode(mode)
+			time.Sleep(evidence.MaxAge + time.Second)
+			require.Equal(t, ReasonCutOff, r.nodes[0].Reason(), "mode %d", mode)
+			require.Equal(t, uint64(2), r.nodes[0].Current().Config().Revision())
+		})
+	}
+}
+
+// TestHeard follows up what a frame tells of a higher revision, without waiting for the next sync.
+func TestHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		defer r.close()
+		r.addListed(24, "d0")
+		time.Sleep(4 * time.Second)
+		revision := r.publish(out("d1", true))
+		time.Sleep(50 * time.Millisecond)
+		watchers := slices.DeleteFunc(slices.Clone(r.nodes), func(n *node) bool { return !n.Watches() })
+		require.Len(t, watchers, 3)
+		require.Greater(t, len(r.lagging(revision)), 10)
+		for i, n := range r.nodes {
+			n.Heard([]string{"", watchers[0].self.Name}[i%2], revision)
+		}
+		time.Sleep(4 * linkLatency)
+		require.Empty(t, r.lagging(revision))
+	})
+}
+
 // TestCutOff cuts one instance off from platform and peers.
 func TestCutOff(t *testing.T) {
 	inFleet(t, func(t *testing.T, r *rig) {
@@ -141,6 +187,10 @@
 			}
 			r.split(0, func(int) bool { return true })
 			requireInForce(t, r, revision)
+			time.Sleep(time.Minute)
+			for _, n := range r.nodes {
+				require.Empty(t, n.Current().Avoided(), n.self.Name)
+			}
 		})
 	}
 }
--- a/internal/fleet/follower/platform.go
+++ b/internal/fleet/follower/platform.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"crocuswing/internal/config/acceptance"
-	"crocuswing/internal/config/set"
 	"crocuswing/internal/fleet/evidence"
 	"crocuswing/internal/fleet/roster"
 	"crocuswing/internal/fleet/store"
@@ -151,7 +150,7 @@
 // acceptConfig takes a change, or reads the whole if the change does not fit. It gives what was accepted.
 func (f *Follower) acceptConfig(ctx context.Context, m manifest.Manifest) (manifest.Manifest, error) {
 	err := f.store.AcceptManifest(ctx, m, f.fetch)
-	if m.IsWhole() || !needsWhole(err) {
+	if m.IsWhole() || !store.NeedsWhole(err) {
 		return m, err
 	}
 	m, _, err = f.platform.Manifest(ctx, 0, 0)
@@ -161,12 +160,6 @@
 	return m, f.store.AcceptManifest(ctx, m, f.fetch)
 }
 
-func needsWhole(err error) bool {
-	var gap *store.GapError
-	var differs *set.DigestError
-	return errors.As(err, &gap) || errors.As(err, &differs)
-}
-
 // fetch reads a value from the platform. What was read is kept until a configuration is accepted,
 // so that an attempt that ends early is not in vain.
 func (f *Follower) fetch(ctx context.Context, e manifest.Entry) ([]byte, error) {
--- a/internal/fleet/follower/rig_test.go
+++ b/internal/fleet/follower/rig_test.go
@@ -64,6 +64,7 @@
 	reads   atomic.Int64
 	bytes   atomic.Int64 // of control messages, sent and received
 	refused atomic.Int64
+	faint   atomic.Bool // pause when the next answer of a peer is under way
 	end     context.CancelFunc
 	mu      sync.Mutex
 	awake   chan struct{} // closed while the instance runs
@@ -365,6 +366,9 @@
 		return none, errLost
 	}
 	r, err := answer(to)
+	if from.faint.CompareAndSwap(true, false) {
+		from.pause(true)
+	}
 	size := int64(callOverhead + sizeOf(q) + sizeOf(r))
 	from.bytes.Add(size)
 	to.bytes.Add(size)
--- a/internal/fleet/history/history.go
+++ b/internal/fleet/history/history.go
@@ -24,8 +24,12 @@
 	maxBytes   = 8 << 20 // of content before the change
 )
 
-// With adds a change. One that does not continue the last one starts the history anew.
+// With adds a change. One that does not continue the last one starts the history anew. The first
+// version of all is no change: nobody can have had what was before it.
 func (h History) With(c Change) History {
+	if c.From == 0 {
+		return History{}
+	}
 	if len(h.changes) > 0 && h.changes[len(h.changes)-1].To != c.From {
 		h.changes = nil
 	}
@@ -43,7 +47,8 @@
 }
 
 // Since gives each name that may have changed after version, with its content at or before version,
-// and false if the history does not reach back that far.
+// and false if the history does not reach back that far. A version between two of the history is taken for
+// the lower one, so that a name which came and went between them is missed: the digest shows that.
 func (h History) Since(version uint64) ([]Item, bool) {
 	if len(h.changes) == 0 || version == 0 || version < h.changes[0].From {
 		return nil, false
--- /dev/null
+++ b/internal/fleet/peers/peers_test.go
@@ -0,0 +1,67 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"crocuswing/internal/fleet/contact"
+	"crocuswing/internal/fleet/member"
+	"crocuswing/internal/fleet/roster"
+	"crocuswing/internal/fleet/view"
+	"crocuswing/internal/peer/server"
+	"crocuswing/internal/wire/gossip"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// TestCalls calls a listed peer, a seed, a peer that is gone and one that is not listed.
+func TestCalls(t *testing.T) {
+	left := make(chan string, 1)
+	s := server.New(map[string]server.Method{
+		gossip.MethodSync: func(context.Context, []byte) (any, error) { return gossip.Reply{Revision: 7}, nil },
+		gossip.MethodLeave: func(_ context.Context, body []byte) (any, error) {
+			var m gossip.Leave
+			err := msgpack.Unmarshal(body, &m)
+			left <- m.From
+			return true, err
+		},
+	}, func() uint64 { return 7 }, func(uint64) {})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = s.Serve(l) }()
+	defer s.Shutdown(t.Context())
+
+	heard := make(chan string, 8)
+	contacts := contact.New()
+	address := l.Addr().String()
+	p := New("self", []string{address}, contacts, func() uint64 { return 1 }, func(peer string, _ uint64) { heard <- peer })
+	defer p.Close()
+	r, err := p.Sync(t.Context(), address, gossip.Request{})
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), r.Revision)
+	require.Equal(t, address, <-heard)
+
+	instance := func(name, address string) member.Member {
+		return member.Member{Name: name, Kind: member.KindInstance, Address: address, State: member.StateLive}
+	}
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, gone.Close())
+	p.Update(view.View{}.WithRoster(roster.New(1, []member.Member{instance("a", address), instance("b", gone.Addr().String())})))
+	_, err = p.Sync(t.Context(), "a", gossip.Request{})
+	require.NoError(t, err)
+	require.Equal(t, "a", <-heard)
+	p.Leave(t.Context(), []string{"a", "self", "unlisted"})
+	require.Len(t, left, 1)
+	require.Equal(t, "self", <-left)
+	for range 2 {
+		_, err = p.Value(t.Context(), "b", gossip.ValueRequest{})
+		require.Error(t, err)
+	}
+	require.Equal(t, []string{"b"}, contacts.Avoided())
+	p.Update(view.View{}.WithRoster(roster.New(2, nil)))
+	_, err = p.Sync(t.Context(), "a", gossip.Request{})
+	require.ErrorIs(t, err, errUnknownPeer)
+}
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -71,17 +71,28 @@
 func (s *Store) Current() view.View { return *s.current.Load() }
 
 // AcceptManifest brings a newer configuration into force. A refused one is logged once for each cause
-// and counted, and the one in force stays. It fails with *acceptance.StaleError, *acceptance.ConflictError,
+// and counted, and the one in force stays. A change that does not lead to the digest that it names is
+// only counted, since its reader reads the whole next. It fails with *acceptance.StaleError, *acceptance.ConflictError,
 // *set.Error, *set.DigestError, *GapError, *ContentError or an error of fetch.
 func (s *Store) AcceptManifest(ctx context.Context, m manifest.Manifest, fetch Fetch) error {
 	err := s.acceptManifest(ctx, m, fetch)
-	var gap *GapError
-	if err != nil && ctx.Err() == nil && !errors.As(err, &gap) {
+	switch {
+	case err == nil || ctx.Err() != nil:
+	case !m.IsWhole() && NeedsWhole(err):
+		s.count("crocuswing_config_rereads_total")
+	default:
 		s.refuse(m.Revision, err)
 	}
 	return err
 }
 
+// NeedsWhole tells whether a change was not accepted because it does not fit what is in force.
+func NeedsWhole(err error) bool {
+	var gap *GapError
+	var differs *set.DigestError
+	return errors.As(err, &gap) || errors.As(err, &differs)
+}
+
 func (s *Store) acceptManifest(ctx context.Context, m manifest.Manifest, fetch Fetch) error {
 	for range maxRaces {
 		base := s.Current().Config()
--- a/internal/fleet/watcher/watcher_test.go
+++ b/internal/fleet/watcher/watcher_test.go
@@ -36,7 +36,7 @@
 	for _, tc := range cases {
 		all := instances(tc.domains, tc.each)
 		watching := 0
-		for _, self := range all[:min(len(all), maxSelves)] {
+		for _, self := range all[:sample(len(all))] {
 			p := New(self, all, nil)
 			total := len(p.Near()) + len(p.Far())
 			if p.Watches() {
@@ -67,3 +67,11 @@
 	}
 	return 0
 }
+
+// sample is the number of instances that choose in a fleet of the given size.
+func sample(size int) int {
+	if size <= maxSelves {
+		return size
+	}
+	return 8
+}
--- a/internal/serve/instance/instance_test.go
+++ b/internal/serve/instance/instance_test.go
@@ -30,6 +30,8 @@
 const (
 	waitLimit    = 30 * time.Second
 	drainDelayMS = 1500
+	serviceMS    = 2      // of the backend's upstreams
+	longDelayMS  = 60_000 // more than a test waits
 )
 
 // fleet is a backend with instances in this process.
@@ -38,6 +40,7 @@
 	t        *testing.T
 	caller   *caller.Caller
 	balancer *balancer.Balancer
+	delayMS  int
 	started  int
 }
 
@@ -51,10 +54,10 @@
 	logs          *observer.ObservedLogs
 }
 
-func start(t *testing.T, count int) (*fleet, []*running) {
+func start(t *testing.T, count, delayMS int) (*fleet, []*running) {
 	b, err := backend.Start(1)
 	require.NoError(t, err)
-	f := &fleet{Backend: b, t: t, caller: caller.New(backend.CallerKey), balancer: balancer.New()}
+	f := &fleet{Backend: b, t: t, caller: caller.New(backend.CallerKey), balancer: balancer.New(), delayMS: delayMS}
 	t.Cleanup(b.Close)
 	var all []*running
 	for range count {
@@ -81,7 +84,7 @@
 	})
 	s := process.Settings{
 		Instance: r.name, FailureDomain: d.Name, Region: d.Region, PlatformAddress: f.Address,
-		TicketKey: backend.TicketKey, DrainDelayMS: drainDelayMS,
+		TicketKey: backend.TicketKey, DrainDelayMS: f.delayMS,
 	}
 	r.Instance = instance.New(s, zap.New(core), instance.WithHurry(r.hurry),
 		instance.WithListeners(instance.Listeners{Caller: l[0], Peer: l[1], Operator: l[2]}))
@@ -99,9 +102,15 @@
 	require.Eventually(f.t, is, waitLimit, time.Millisecond)
 }
 
-func (f *fleet) slow(factor float64) {
+// slowDown makes upstreams take the given time for a request, and gives requests the time for it.
+func (f *fleet) slowDown(all []*running, ms int) {
+	const patient = `{"name":"ordinary","deadline-ms":60000,"answer-policy":"coverage","hedge-quantile":0.9,"hedge-share":0,"retry-share":0}`
+	revision := f.Platform.Publish(map[string]string{"preset/ordinary": patient})
+	for _, r := range all {
+		f.await(func() bool { return r.Status().Revision == revision })
+	}
 	for _, u := range f.Upstreams() {
-		u.SetSlowdown(factor)
+		u.SetSlowdown(float64(ms) / serviceMS)
 	}
 }
 
@@ -144,8 +153,8 @@
 
 // TestPlannedStopFinishes stops an instance while requests and orders are in flight in it.
 func TestPlannedStopFinishes(t *testing.T) {
-	f, all := start(t, 2)
-	f.slow(200)
+	f, all := start(t, 2, drainDelayMS)
+	f.slowDown(all, 2*drainDelayMS) // requests outlast the drain
 	var cut atomic.Int64
 	var work sync.WaitGroup
 	states := make([]string, 4)
@@ -179,16 +188,14 @@
 
 // TestHurriedStop sends a second signal while an order is in flight: the log names it.
 func TestHurriedStop(t *testing.T) {
-	f, all := start(t, 1)
-	const patient = `{"name":"ordinary","deadline-ms":60000,"answer-policy":"coverage","hedge-quantile":0.9,"hedge-share":0,"retry-share":0}`
-	revision := f.Platform.Publish(map[string]string{"preset/ordinary": patient})
-	f.await(func() bool { return all[0].Status().Revision == revision })
-	f.slow(1e6)
+	f, all := start(t, 1, longDelayMS)
+	f.slowDown(all, longDelayMS)
 	go func() { _, _ = f.order(all[0].address, "hurried") }()
 	f.await(func() bool { return all[0].Status().OrdersInFlight == 1 })
 	all[0].stop()
 	f.await(func() bool { return !all[0].Status().Ready })
 	all[0].hurry <- syscall.SIGTERM
+	f.await(func() bool { return all[0].logs.FilterMessage("instance stopped").Len() == 1 })
 	require.NoError(t, <-all[0].ended)
 	lost := all[0].logs.FilterMessage("stop is cut short").All()
 	require.Len(t, lost, 1)
@@ -197,7 +204,7 @@
 
 // TestRollingReplacement replaces all four instances in turn under load.
 func TestRollingReplacement(t *testing.T) {
-	f, all := start(t, 4)
+	f, all := start(t, 4, drainDelayMS)
 	done := make(chan struct{})
 	var cut, answered atomic.Int64
 	var bodies sync.Map
@@ -252,7 +259,7 @@
 
 // TestDomainOutAndBack takes a failure domain out and back in a running fleet: its upstreams start cold.
 func TestDomainOutAndBack(t *testing.T) {
-	f, all := start(t, 2)
+	f, all := start(t, 2, drainDelayMS)
 	require.NoError(t, f.search(all[0].address, "warm"))
 	f.SetOut(backend.Domains[0].Name, true)
 	f.await(func() bool { return len(all[1].Status().DomainsOut) == 1 && len(all[0].Status().DomainsOut) == 1 })
--- a/internal/wire/patch/patch_test.go
+++ b/internal/wire/patch/patch_test.go
@@ -13,7 +13,8 @@
 	f.Add("aa", "aaaa")
 	f.Add("", "new")
 	f.Add("old", "")
-	f.Add("né", "nè")
+	f.Add("né", "nè") // the same first byte
+	f.Add("aé", "a©") // the same last byte
 	f.Fuzz(func(t *testing.T, before, after string) {
 		p := New("", []byte(before), []byte(after))
 		got, err := p.Apply([]byte(before))
