--- a/internal/demo/naive/naive.go
+++ b/internal/demo/naive/naive.go
@@ -42,18 +42,20 @@
 // Search asks the first replica of each shard once and waits for all answers or the end of ctx.
 func (n *Naive) Search(ctx context.Context, id, text string) (answer.Answer, error) {
 	l := n.backend.SearchLayout()
+	requests := make([]part.Request, len(l.Shards))
 	replies := make([]part.Reply, len(l.Shards))
 	var work sync.WaitGroup
 	for i, s := range l.Shards {
 		work.Go(func() {
 			q := part.Request{RequestID: fmt.Sprintf("%s/%d", id, i), Service: backend.SearchService, Shard: s.Name, Snapshot: l.Snapshot, Query: text}
+			requests[i] = q
 			_ = n.post(ctx, s.Replicas[0], "/v1/part", q.RequestID, q, &replies[i])
 		})
 	}
 	work.Wait()
 	g := gather.New(l.Snapshot, l.Shards)
-	for _, r := range replies {
-		g.Add(r)
+	for i, r := range replies {
+		g.Add(i, requests[i], r)
 	}
 	return answer.Answer{RequestID: id, Snapshot: l.Snapshot, Coverage: g.Coverage(), Rows: g.Rows()}, nil
 }
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -11,8 +11,6 @@
 	"crocuswing/internal/fleet/member"
 	"crocuswing/internal/fleet/roster"
 	"crocuswing/internal/fleet/view"
-	"crocuswing/internal/order/desk"
-	"crocuswing/internal/order/outcome"
 	"crocuswing/internal/peer/client"
 	"crocuswing/internal/upstream/failure"
 	"crocuswing/internal/wire/relay"
@@ -137,20 +135,3 @@
 	}
 	return err
 }
-
-// Forward hands an order to the instance that owns its ticket. It fails only if no byte was sent.
-func (p *Peers) Forward(ctx context.Context, owner string, placement desk.Placement) (outcome.Outcome, error) {
-	var o outcome.Outcome
-	err := p.call(ctx, owner, MethodOrder, placement, &o)
-	var unsent *client.UnsentError
-	var refused *client.RefusedError
-	switch {
-	case err == nil:
-		return o, nil
-	case errors.As(err, &unsent):
-		return outcome.Outcome{}, err
-	case errors.As(err, &refused):
-		return outcome.Outcome{State: outcome.NotRun, Reason: refused.Reason}, nil
-	}
-	return outcome.Outcome{State: outcome.Unknown, Reason: err.Error()}, nil
-}
--- a/internal/serve/instance/calls.go
+++ b/internal/serve/instance/calls.go
@@ -5,9 +5,6 @@
 	"errors"
 
 	"crocuswing/internal/fleet/peers"
-	"crocuswing/internal/order/desk"
-	"crocuswing/internal/order/table"
-	"crocuswing/internal/order/ticket"
 	"crocuswing/internal/peer/server"
 	"crocuswing/internal/wire/gossip"
 	"crocuswing/internal/wire/relay"
@@ -19,6 +16,7 @@
 func (i *Instance) methods() map[string]server.Method {
 	return map[string]server.Method{
 		peers.MethodOrder:  i.placeForwarded,
+		peers.MethodMint:   i.mintFor,
 		peers.MethodRelay:  i.relay,
 		peers.MethodNotice: i.notice,
 		gossip.MethodSync:  i.sync,
@@ -53,25 +51,6 @@
 	return nil, nil
 }
 
-// placeForwarded runs an order that another instance forwarded to the owner of its ticket.
-func (i *Instance) placeForwarded(ctx context.Context, body []byte) (any, error) {
-	var p desk.Placement
-	if err := msgpack.Unmarshal(body, &p); err != nil {
-		return nil, err
-	}
-	v, err := i.Fresh(ctx)
-	if err != nil {
-		return nil, err
-	}
-	o, err := i.desk.Place(ctx, v, p)
-	var badTicket *ticket.Error
-	var badOrder *table.Error
-	if errors.As(err, &badTicket) || errors.As(err, &badOrder) {
-		return nil, err
-	}
-	return o, err
-}
-
 // sync compares views with another instance.
 func (i *Instance) sync(_ context.Context, body []byte) (any, error) {
 	var q gossip.Request
--- a/internal/serve/instance/instance.go
+++ b/internal/serve/instance/instance.go
@@ -102,8 +102,9 @@
 		follower.WithSeeds(s.Peers), follower.WithCounter(i.metrics.Count))
 	sender := dispatch.New(s.Instance, i.follower, i.directory, i.peers, dispatch.WithObserver(i.changed))
 	i.dispatcher = sender
-	i.runner = run.New(sender)
-	i.desk = desk.New(s.Instance, i.incarnation, []byte(s.TicketKey), i.flight.Sender(sender), i.peers)
+	i.runner = run.New(sender, run.WithMeter(i.metrics), run.WithCurrent(i.follower.Current))
+	i.desk = desk.New(s.Instance, i.incarnation, []byte(s.TicketKey), i.flight.Sender(sender), i.peers, i)
+	i.measureOrders()
 }
 
 // Run serves until ctx ends, then finishes what is in flight and returns nil.
--- /dev/null
+++ b/internal/serve/instance/order.go
@@ -0,0 +1,42 @@
+package instance
+
+import (
+	"context"
+
+	"crocuswing/internal/order/desk"
+	"crocuswing/internal/order/table"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// measureOrders registers the metrics of the table of tickets.
+func (i *Instance) measureOrders() {
+	gauges := map[string]func(table.Stats) float64{
+		"crocuswing_tickets_held":          func(s table.Stats) float64 { return float64(s.Tickets) },
+		"crocuswing_tickets_running":       func(s table.Stats) float64 { return float64(s.Running) },
+		"crocuswing_tickets_bytes":         func(s table.Stats) float64 { return float64(s.Bytes) },
+		"crocuswing_tickets_refused_total": func(s table.Stats) float64 { return float64(s.Refused) },
+		"crocuswing_tickets_dropped_total": func(s table.Stats) float64 { return float64(s.Dropped) },
+	}
+	for name, read := range gauges {
+		i.metrics.Gauge(name, func() float64 { return read(i.desk.Stats()) })
+	}
+}
+
+// placeForwarded runs an order that another instance forwarded to the owner of its ticket.
+func (i *Instance) placeForwarded(ctx context.Context, body []byte) (any, error) {
+	var p desk.Placement
+	if err := msgpack.Unmarshal(body, &p); err != nil {
+		return nil, err
+	}
+	return i.desk.Answer(ctx, p), nil
+}
+
+// mintFor gives a ticket to another instance that stops.
+func (i *Instance) mintFor(_ context.Context, body []byte) (any, error) {
+	var c desk.Claim
+	if err := msgpack.Unmarshal(body, &c); err != nil {
+		return nil, err
+	}
+	return i.desk.MintFor(c)
+}
--- a/internal/serve/instance/status.go
+++ b/internal/serve/instance/status.go
@@ -27,7 +27,7 @@
 		PlatformFailing: i.follower.PlatformFailing(),
 		ListVersion:     v.Roster().Version(),
 		Peers:           i.peerStatus(now),
-		Tickets:         i.desk.Tickets(),
+		Tickets:         i.desk.Stats().Tickets,
 		FirstAttempts:   first,
 		ExtraAttempts:   extra,
 		InFlight:        i.flight.Requests(),
--- a/internal/upstream/dispatch/fleet_test.go
+++ b/internal/upstream/dispatch/fleet_test.go
@@ -33,7 +33,7 @@
 
 // fleet is some instances before some servers, all in virtual time.
 type fleet struct {
-	t               *testing.T
+	t               testing.TB
 	servers         map[string]*server
 	nodes           map[string]*node
 	naive           bool // send at once, without limits
@@ -165,7 +165,7 @@
 	return !f.isCut(a, b) && !f.nodes[b].gone.Load()
 }
 
-func (x *node) open(name, _ string, _ int) directory.Link {
+func (x *node) open(name, _ string, _ int, _ func()) directory.Link {
 	return gate{server: x.fleet.servers[name], node: x}
 }
 
--- a/internal/upstream/target/target.go
+++ b/internal/upstream/target/target.go
@@ -13,6 +13,7 @@
 	"crocuswing/internal/upstream/limit"
 	"crocuswing/internal/upstream/queue"
 	"crocuswing/internal/upstream/signal"
+	"crocuswing/internal/upstream/start"
 	"crocuswing/internal/upstream/warmup"
 )
 
@@ -47,6 +48,7 @@
 	departure departure.Departure
 	latency   time.Duration
 	load      float64
+	reported  time.Time
 	shedUntil time.Time
 	route     route
 }
@@ -144,7 +146,7 @@
 		t.mu.Unlock()
 		return s, nil
 	}
-	deadline, _ := ctx.Deadline()
+	deadline, _ := start.Deadline(ctx)
 	load := queue.Load{Limit: t.allowed(now), Service: t.work.limit.Latency()}
 	w, err := t.work.queue.Enter(now, deadline, load)
 	t.mu.Unlock()
@@ -309,6 +311,17 @@
 	return t.load
 }
 
+// Report is the load that the upstream last reported and the age of that report at now; the load is
+// negative if there was none.
+func (t *Target) Report(now time.Time) (load float64, age time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.reported.IsZero() {
+		return -1, 0
+	}
+	return t.load, now.Sub(t.reported)
+}
+
 // note records what an answer or a notice tells besides its result.
 func (t *Target) note(now time.Time, s signal.Signal) {
 	if s.Leaving {
@@ -319,6 +332,7 @@
 	}
 	if s.Load >= 0 {
 		t.load = s.Load
+		t.reported = now
 	}
 }
 
