--- a/internal/fleet/peers/forward_test.go
+++ b/internal/fleet/peers/forward_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"testing"
 
+	"crocuswing/internal/fleet/contact"
 	"crocuswing/internal/fleet/member"
 	"crocuswing/internal/fleet/peers"
 	"crocuswing/internal/fleet/roster"
@@ -45,7 +46,7 @@
 			} else {
 				require.NoError(t, l.Close())
 			}
-			p := peers.New("south-1", zero, func(uint64) {})
+			p := peers.New("south-1", nil, contact.New(), zero, func(string, uint64) {})
 			p.Update(view.View{}.WithRoster(roster.New(1, []member.Member{
 				{Name: "south-2", Kind: member.KindInstance, Address: l.Addr().String()},
 			})))
@@ -78,7 +79,7 @@
 		defer s.Shutdown(context.Background())
 		members = append(members, member.Member{Name: name, Kind: member.KindInstance, Address: l.Addr().String()})
 	}
-	p := peers.New("south-1", zero, func(uint64) {})
+	p := peers.New("south-1", nil, contact.New(), zero, func(string, uint64) {})
 	defer p.Close()
 	_, err := p.Mint(t.Context(), desk.Claim{})
 	require.Error(t, err)
--- a/internal/fleet/peers/order.go
+++ b/internal/fleet/peers/order.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 
+	"crocuswing/internal/fleet/member"
 	"crocuswing/internal/order/desk"
 	"crocuswing/internal/order/outcome"
 	"crocuswing/internal/peer/client"
@@ -15,12 +17,8 @@
 // Forward hands a placement to the instance that owns its ticket. It fails with *desk.UnsentError
 // if the owner did not get it; after any other error the owner may have acted.
 func (p *Peers) Forward(ctx context.Context, owner string, placement desk.Placement) (outcome.Outcome, error) {
-	c, ok := p.client(owner)
-	if !ok {
-		return outcome.Outcome{}, &desk.UnsentError{Err: errUnknownPeer}
-	}
 	var o outcome.Outcome
-	err := c.Call(ctx, MethodOrder, placement, &o)
+	err := p.call(ctx, owner, MethodOrder, placement, &o)
 	var unsent *client.UnsentError
 	if errors.As(err, &unsent) {
 		return outcome.Outcome{}, &desk.UnsentError{Err: err}
@@ -31,22 +29,25 @@
 // Mint takes a ticket from any other instance. It fails if none gives one.
 func (p *Peers) Mint(ctx context.Context, c desk.Claim) (desk.Grant, error) {
 	err := errUnknownPeer
-	for _, peer := range p.all() {
+	for _, peer := range p.live() {
 		var g desk.Grant
-		if err = peer.Call(ctx, MethodMint, c, &g); err == nil {
+		if err = p.call(ctx, peer, MethodMint, c, &g); err == nil {
 			return g, nil
 		}
 	}
 	return desk.Grant{}, err
 }
 
-// all gives the clients of all instances in the view, in random order.
-func (p *Peers) all() []*client.Client {
+// live names the other instances that are listed as live, in random order.
+func (p *Peers) live() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	all := make([]*client.Client, 0, len(p.clients))
-	for _, c := range p.clients {
-		all = append(all, c)
+	var names []string
+	for _, m := range p.roster.Of(member.KindInstance) {
+		if m.Name != p.self && m.State != member.StateLeaving {
+			names = append(names, m.Name)
+		}
 	}
-	return all
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names
 }
--- a/internal/upstream/dispatch/attempt.go
+++ b/internal/upstream/dispatch/attempt.go
@@ -76,6 +76,9 @@
 
 // relay sends an attempt through another home.
 func (d *Dispatcher) relay(ctx context.Context, t *target.Target, hop string, q relay.Request) (relay.Reply, error) {
+	if err := d.refresh(ctx, q.Upstream); err != nil {
+		return relay.Reply{}, err
+	}
 	if !d.permits(t) {
 		return relay.Reply{}, forbidden(q.Upstream)
 	}
@@ -112,6 +115,10 @@
 	if err != nil {
 		return relay.Reply{}, notAcquired(q.Upstream, err)
 	}
+	if err := d.refresh(ctx, q.Upstream); err != nil {
+		t.Return(slot)
+		return relay.Reply{}, err
+	}
 	l, ok := d.directory.Link(q.Upstream)
 	if !ok || !d.permits(t) {
 		t.Return(slot)
--- a/internal/upstream/dispatch/order_test.go
+++ b/internal/upstream/dispatch/order_test.go
@@ -25,6 +25,8 @@
 
 func (f fixed) Current() view.View { return f.View }
 
+func (f fixed) Fresh(context.Context) (view.View, error) { return f.View, nil }
+
 // TestOrderStart gives up an order that gets no slot in time, while the one that holds the slot goes on.
 // The upstream is told the time to start and not the longer time for the answer.
 func TestOrderStart(t *testing.T) {
--- a/internal/upstream/dispatch/server_test.go
+++ b/internal/upstream/dispatch/server_test.go
@@ -108,6 +108,12 @@
 	return order.Reply{RequestID: q.RequestID}, sig, err
 }
 
+// SetShare does nothing: the server counts what it gets.
+func (s *server) SetShare(int) {}
+
+// SetLeaving does nothing: the dispatcher has to refuse by itself.
+func (s *server) SetLeaving(bool) {}
+
 // Close does nothing.
 func (s *server) Close() {}
 
