--- a/internal/fleet/peers/order.go
+++ b/internal/fleet/peers/order.go
@@ -11,6 +11,8 @@
 	"crocuswing/internal/peer/client"
 )
 
+const mintPeers = 8 // asked for a ticket before a request for one is refused
+
 // MethodMint asks for a ticket; an instance that stops refuses it.
 const MethodMint = "mint"
 
@@ -26,10 +28,10 @@
 	return o, err
 }
 
-// Mint takes a ticket from any other instance. It fails if none gives one.
+// Mint takes a ticket from another instance, trying a few in random order. It fails if none gives one.
 func (p *Peers) Mint(ctx context.Context, c desk.Claim) (desk.Grant, error) {
 	err := errUnknownPeer
-	for _, peer := range p.live() {
+	for _, peer := range p.others(mintPeers) {
 		var g desk.Grant
 		if err = p.call(ctx, peer, MethodMint, c, &g); err == nil {
 			return g, nil
@@ -38,8 +40,8 @@
 	return desk.Grant{}, err
 }
 
-// live names the other instances that are listed as live, in random order.
-func (p *Peers) live() []string {
+// others gives the names of up to most listed instances that are not leaving, in random order.
+func (p *Peers) others(most int) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var names []string
@@ -48,6 +50,6 @@
 			names = append(names, m.Name)
 		}
 	}
-	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	return names
+	rand.Shuffle(len(names), func(a, b int) { names[a], names[b] = names[b], names[a] })
+	return names[:min(most, len(names))]
 }
--- a/internal/serve/instance/order.go
+++ b/internal/serve/instance/order.go
@@ -23,6 +23,15 @@
 	}
 }
 
+// placeForwarded runs an order that another instance forwarded to the owner of its ticket.
+func (i *Instance) placeForwarded(ctx context.Context, body []byte) (any, error) {
+	var p desk.Placement
+	if err := msgpack.Unmarshal(body, &p); err != nil {
+		return nil, err
+	}
+	return i.desk.Answer(ctx, p), nil
+}
+
 // mintFor gives a ticket to another instance that stops.
 func (i *Instance) mintFor(_ context.Context, body []byte) (any, error) {
 	var c desk.Claim
