--- a/internal/order/desk/wire_test.go
+++ b/internal/order/desk/wire_test.go
@@ -8,8 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
+	"time"
 
 	"crocuswing/internal/index/shard"
 	"crocuswing/internal/order/desk"
@@ -18,6 +20,7 @@
 	"crocuswing/internal/wire/header"
 	"crocuswing/internal/wire/order"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -187,6 +190,16 @@
 	return reply, err
 }
 
+// deskOver gives a desk with one connection to each of two upstreams.
+func deskOver(t *testing.T, f fresh, a, b *raw) *process {
+	senders := pair{}
+	for name, u := range map[string]*raw{"a": a, "b": b} {
+		senders[name] = link.New(name, u.listener.Addr().String(), 1)
+		t.Cleanup(senders[name].Close)
+	}
+	return &process{Desk: desk.New("south-1", 1, key, senders, nil, f)}
+}
+
 // TestCutLinks cuts the connection to an upstream at each point, on a fresh and on a reused connection.
 // The verdict comes from what the two upstreams ran. A request that started at the first upstream must
 // not start there again: neither net/http.Transport nor the desk may repeat it.
@@ -196,21 +209,14 @@
 		for _, reused := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, reused %t", c.name, reused), func(t *testing.T) {
 				a, b := newRaw(t), newRaw(t)
-				senders := pair{
-					"a": link.New("a", a.listener.Addr().String(), 1),
-					"b": link.New("b", b.listener.Addr().String(), 1),
-				}
-				defer senders["a"].Close()
-				defer senders["b"].Close()
-				d := desk.New("south-1", 1, key, senders, nil, f)
-				p := &process{Desk: d}
+				p := deskOver(t, f, a, b)
 				before := 0
 				if reused {
-					require.Equal(t, outcome.Done, d.Place(t.Context(), placement(t, p, "healthy")).State)
+					require.Equal(t, outcome.Done, p.Place(t.Context(), placement(t, p, "healthy")).State)
 					before = 1
 				}
 				a.next(c)
-				o := orderThrough(t, d, placement(t, p, "order"), a, c)
+				o := orderThrough(t, p.Desk, placement(t, p, "order"), a, c)
 				starts, ran := a.counts()
 				_, ranB := b.counts()
 				ran += ranB - before
@@ -246,13 +252,7 @@
 func TestClosedConnections(t *testing.T) {
 	f := newFresh(t)
 	a, b := newRaw(t), newRaw(t)
-	senders := pair{
-		"a": link.New("a", a.listener.Addr().String(), 1),
-		"b": link.New("b", b.listener.Addr().String(), 1),
-	}
-	defer senders["a"].Close()
-	defer senders["b"].Close()
-	p := &process{Desk: desk.New("south-1", 1, key, senders, nil, f)}
+	p := deskOver(t, f, a, b)
 	for n := range 200 {
 		a.next(cut{run: true, reply: success})
 		_, ranBefore := a.counts()
@@ -271,13 +271,34 @@
 func TestNoConnection(t *testing.T) {
 	a, b := newRaw(t), newRaw(t)
 	require.NoError(t, a.listener.Close())
-	senders := pair{
-		"a": link.New("a", a.listener.Addr().String(), 1),
-		"b": link.New("b", b.listener.Addr().String(), 1),
-	}
-	defer senders["b"].Close()
-	p := &process{Desk: desk.New("south-1", 1, key, senders, nil, newFresh(t))}
+	p := deskOver(t, newFresh(t), a, b)
 	require.Equal(t, outcome.Done, p.Place(t.Context(), placement(t, p, "order")).State)
 	_, ran := b.counts()
 	require.Equal(t, 1, ran)
 }
+
+// TestContractOrder holds the link to the sample exchange of the contract.
+func TestContractOrder(t *testing.T) {
+	const request = `{"request-id": "instance-0/18a3f0c2/42/0", "reference": "instance-0/18a3f0c2/42",
+		"service": "order-entry", "key": "mattress-17", "body": "two, queen size"}`
+	const reply = `{"request-id": "instance-0/18a3f0c2/42/0", "order-id": "order-entry-3-a/17"}`
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got, _ := io.ReadAll(r.Body)
+		assert.JSONEq(t, request, string(got))
+		assert.Equal(t, "POST /v1/order", r.Method+" "+r.URL.Path)
+		assert.Equal(t, "application/json", r.Header.Get("Content-Type"))
+		assert.NotEmpty(t, r.Header.Get(header.DeadlineMS))
+		w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
+		_, _ = io.WriteString(w, reply)
+	}))
+	defer s.Close()
+	l := link.New("a", s.Listener.Addr().String(), 1)
+	defer l.Close()
+	var q order.Request
+	require.NoError(t, json.Unmarshal([]byte(request), &q))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+	defer cancel()
+	got, _, err := l.Order(ctx, q)
+	require.NoError(t, err)
+	require.Equal(t, order.Reply{RequestID: q.RequestID, OrderID: "order-entry-3-a/17"}, got)
+}
