--- a/internal/measure/line/line.go
+++ b/internal/measure/line/line.go
@@ -3,6 +3,7 @@
 
 import (
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -12,7 +13,7 @@
 	Package string
 	// Name is the benchmark's name without "Benchmark", the size and the number of processors.
 	Name string
-	// Size is the number in a part such as "n=100" or "shards=20" of the name, and HasSize tells whether there is one.
+	// Size is the number in the last part such as "n=100" or "shards=20" of the name, if HasSize.
 	Size    float64
 	HasSize bool
 	Values  []Value
@@ -50,13 +51,15 @@
 
 func (l *Line) setName(name string) {
 	name = processorsPart.ReplaceAllString(name, "")
-	found := sizePart.FindStringSubmatchIndex(name)
-	if found == nil {
-		l.Name = name
-		return
+	parts := strings.Split(name, "/")
+	for n := len(parts) - 1; n > 0 && !l.HasSize; n-- {
+		found := sizePart.FindStringSubmatch(parts[n])
+		if found == nil {
+			continue
+		}
+		l.Size, _ = strconv.ParseFloat(found[1], 64)
+		l.HasSize = true
+		parts = slices.Delete(parts, n, n+1)
 	}
-	l.Size, _ = strconv.ParseFloat(name[found[2]:found[3]], 64)
-	l.HasSize = true
-	rest := strings.TrimPrefix(name[found[3]:], "/")
-	l.Name = strings.TrimSuffix(name[:found[0]]+"/"+rest, "/")
+	l.Name = strings.Join(parts, "/")
 }
--- a/internal/measure/series/series_test.go
+++ b/internal/measure/series/series_test.go
@@ -27,6 +27,9 @@
 	require.Len(t, slopes, 2)
 	require.InDelta(t, 10, slopes[1].Slope, 1e-9)
 	require.InDelta(t, 20, slopes[1].Intercept, 1e-9)
+	l, _ := line.Parse("BenchmarkMemory/instances=4/n=1000-8 1 7 bytes", "p")
+	require.Equal(t, "Memory/instances=4", l.Name)
+	require.InDelta(t, 1000, l.Size, 0)
 	for _, text := range []string{"ok  \tp\t0.1s", "BenchmarkX", "BenchmarkX-8 10 x ns/op"} {
 		_, ok := line.Parse(text, "p")
 		require.False(t, ok, text)
