--- a/internal/query/run/fault_test.go
+++ b/internal/query/run/fault_test.go
@@ -34,6 +34,7 @@
 	mixed    int
 	untrue   int
 	failed   int
+	broken   int // failed for another reason than that the caller hung up
 	leaked   int // attempts in flight a while after the last query
 }
 
@@ -160,8 +161,10 @@
 	require.Zero(t, o.mixed, "mixed snapshots")
 	require.Zero(t, o.untrue, "untrue coverage")
 	require.Zero(t, o.leaked, "attempts left in flight")
+	require.Zero(t, o.broken, "errors")
 	if s.hangUp > 0 {
-		require.Empty(t, o.times)
+		require.Empty(t, o.times, "answers to a caller that is gone")
+		require.Positive(t, o.failed)
 		return
 	}
 	require.Zero(t, o.failed)
@@ -234,8 +237,9 @@
 // add judges one answer by its rows, which only the upstreams make.
 func (o *outcome) add(r *rig, a answer.Answer, err error, q run.Query, took time.Duration) {
 	if err != nil {
-		if errors.Is(err, context.Canceled) {
-			o.failed++
+		o.failed++
+		if !errors.Is(err, context.Canceled) {
+			o.broken++
 		}
 		return
 	}
