--- a/internal/order/desk/world_test.go
+++ b/internal/order/desk/world_test.go
@@ -53,6 +53,7 @@
 	desks       map[string]*process
 	incarnation uint64
 	ran         map[string]int // by body
+	forwards    int            // calls between processes
 }
 
 // process is one incarnation of an instance. It is a Sender and a Forwarder that dies with it.
@@ -184,6 +185,9 @@
 	}
 	time.Sleep(time.Millisecond)
 	to := w.process(owner)
+	w.mu.Lock()
+	w.forwards++
+	w.mu.Unlock()
 	if w.roll("lost", event) < w.fault.lost || !to.wake(ctx) {
 		<-ctx.Done()
 		return outcome.Outcome{}, ctx.Err()
--- a/internal/upstream/directory/directory.go
+++ b/internal/upstream/directory/directory.go
@@ -12,7 +12,7 @@
 	"crocuswing/internal/fleet/view"
 	"crocuswing/internal/upstream/contract"
 	"crocuswing/internal/upstream/home"
-	"crocuswing/internal/upstream/link"
+	"crocuswing/internal/upstream/registry"
 	"crocuswing/internal/upstream/signal"
 	"crocuswing/internal/upstream/target"
 	"crocuswing/internal/wire/order"
@@ -83,6 +83,10 @@
 
 // New makes an empty directory for the instance self.
 func New(self string, options ...Option) *Directory {
+	links := registry.New()
+	openLink := func(name, address string, connections int, lost func()) Link {
+		return links.Open(name, address, connections, lost)
+	}
 	d := &Directory{self: self, open: openLink, ranking: home.New(nil), entries: make(map[string]*entry)}
 	for _, o := range options {
 		o(d)
@@ -90,10 +94,6 @@
 	return d
 }
 
-func openLink(name, address string, connections int, lost func()) Link {
-	return link.New(name, address, connections, link.WithLost(lost))
-}
-
 // Target finds the running state of an upstream.
 func (d *Directory) Target(upstream string) (*target.Target, bool) {
 	d.mu.RLock()
@@ -136,6 +136,36 @@
 	return all
 }
 
+// Summary counts the upstreams that this instance knows.
+type Summary struct {
+	// Homes is the number of those of which it is a home.
+	Homes int
+	// Cold is the number of those homes that are not known to be warm.
+	Cold int
+	// InFlight and Waiting count the requests at and before those homes.
+	InFlight, Waiting int
+}
+
+// Summary is that of the present moment.
+func (d *Directory) Summary() Summary {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var s Summary
+	for _, e := range d.entries {
+		if e.link == nil {
+			continue
+		}
+		s.Homes++
+		if e.IsCold() {
+			s.Cold++
+		}
+		inFlight, waiting := e.Work()
+		s.InFlight += inFlight
+		s.Waiting += waiting
+	}
+	return s
+}
+
 // Update adds the upstreams that v names, drops the others, and gives this instance its role and
 // share for each. What did not change since the last update is not looked up again.
 func (d *Directory) Update(v view.View) {
--- a/internal/upstream/dispatch/fleet_test.go
+++ b/internal/upstream/dispatch/fleet_test.go
@@ -54,6 +54,7 @@
 	directory *directory.Directory
 	current   atomic.Pointer[view.View]
 	gone      atomic.Bool
+	isOld     atomic.Bool // the view, and it cannot be refreshed
 	paused    atomic.Pointer[chan struct{}]
 }
 
@@ -172,8 +173,13 @@
 // Current is the node's view.
 func (x *node) Current() view.View { return *x.current.Load() }
 
-// Fresh is the node's view too: these tests make no view too old.
-func (x *node) Fresh(context.Context) (view.View, error) { return x.Current(), nil }
+// Fresh is the node's view, unless that is too old.
+func (x *node) Fresh(context.Context) (view.View, error) {
+	if x.isOld.Load() {
+		return view.View{}, errOld
+	}
+	return x.Current(), nil
+}
 
 // pause stops the node until the function that it gives is called.
 func (x *node) pause() func() {
@@ -230,12 +236,27 @@
 	node *node
 }
 
-// Part is held back while the node is paused.
+// Part is held back while the node is paused. It returns when ctx ends, and the server may work on.
 func (g gate) Part(ctx context.Context, q part.Request) (part.Reply, signal.Signal, error) {
 	g.node.await()
-	reply, sig, err := g.server.Part(ctx, q)
-	g.node.await()
-	return reply, sig, err
+	type answer struct {
+		reply part.Reply
+		sig   signal.Signal
+		err   error
+	}
+	answered := make(chan answer, 1)
+	go func() {
+		reply, sig, err := g.server.Part(ctx, q)
+		answered <- answer{reply, sig, err}
+	}()
+	select {
+	case a := <-answered:
+		g.node.await()
+		return a.reply, a.sig, a.err
+	case <-ctx.Done():
+		g.node.await()
+		return part.Reply{}, signal.Signal{Load: -1}, &failure.Failure{Upstream: g.name, Kind: failure.KindCanceled, Err: ctx.Err()}
+	}
 }
 
 // load sends a request to each server every interval, from one live node after the other.
