test: what cannot be answered in time is not sent

Also forgets the counts of attempts through former instances at each change of the ranking, which were kept for ever. Broken by hand, the check of a free slot fails the new test (no test failed before).

--- a/internal/upstream/dispatch/attempt.go
+++ b/internal/upstream/dispatch/attempt.go
@@ -83,7 +83,7 @@
 		return relay.Reply{}, forbidden(q.Upstream)
 	}
 	t.BeginRelay()
-	end := d.hops.begin(hop)
+	end := d.hops.begin(d.directory.Ranking(), hop)
 	defer end()
 	sent := time.Now()
 	q.Doubt, q.Incarnation = t.IsDoubted(), t.Incarnation()
--- a/internal/upstream/dispatch/route.go
+++ b/internal/upstream/dispatch/route.go
@@ -53,7 +53,7 @@
 		}
 		return b
 	}
-	if d.hops.inFlight(a) <= d.hops.inFlight(b) {
+	if d.hops.inFlight(r, a) <= d.hops.inFlight(r, b) {
 		return a
 	}
 	return b
@@ -69,24 +69,35 @@
 	return left
 }
 
-// hops counts the attempts in flight through each other instance.
+// hops counts the attempts in flight through each other instance, from the last change of the ranking
+// on. So it forgets the instances that are gone.
 type hops struct {
-	counts sync.Map // of *atomic.Int64, by instance
+	current atomic.Pointer[counts]
+}
+
+type counts struct {
+	ranking *home.Ranking
+	byName  sync.Map // of *atomic.Int64
 }
 
 // begin counts an attempt until the function that it gives is called.
-func (h *hops) begin(instance string) func() {
-	n := h.count(instance)
+func (h *hops) begin(r *home.Ranking, instance string) func() {
+	n := h.count(r, instance)
 	n.Add(1)
 	return func() { n.Add(-1) }
 }
 
-func (h *hops) inFlight(instance string) int64 { return h.count(instance).Load() }
+func (h *hops) inFlight(r *home.Ranking, instance string) int64 { return h.count(r, instance).Load() }
 
-func (h *hops) count(instance string) *atomic.Int64 {
-	if n, ok := h.counts.Load(instance); ok {
+func (h *hops) count(r *home.Ranking, instance string) *atomic.Int64 {
+	c := h.current.Load()
+	if c == nil || c.ranking != r {
+		c = &counts{ranking: r}
+		h.current.Store(c)
+	}
+	if n, ok := c.byName.Load(instance); ok {
 		return n.(*atomic.Int64)
 	}
-	n, _ := h.counts.LoadOrStore(instance, new(atomic.Int64))
+	n, _ := c.byName.LoadOrStore(instance, new(atomic.Int64))
 	return n.(*atomic.Int64)
 }
--- a/internal/upstream/target/target_test.go
+++ b/internal/upstream/target/target_test.go
@@ -11,6 +11,7 @@
 	"crocuswing/internal/upstream/contract"
 	"crocuswing/internal/upstream/failure"
 	"crocuswing/internal/upstream/home"
+	"crocuswing/internal/upstream/queue"
 	"crocuswing/internal/upstream/signal"
 	"crocuswing/internal/upstream/target"
 	"crocuswing/internal/upstream/warmup"
@@ -193,3 +194,32 @@
 	})
 	require.Greater(t, warmSlots, 100, "the histories must reach warm upstreams")
 }
+
+// TestWhatCannotBeAnsweredInTimeIsNotSent holds for a free slot of a warm upstream with a recent answer.
+func TestWhatCannotBeAnsweredInTimeIsNotSent(t *testing.T) {
+	const service = 10 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		u := target.New("a", bounds, home.Place{})
+		u.SetRole(first)
+		acquire := func(left time.Duration) (target.Slot, error) {
+			ctx, cancel := context.WithTimeout(t.Context(), left)
+			defer cancel()
+			return u.Acquire(ctx)
+		}
+		for range bounds.WarmAfter {
+			s, err := acquire(service / 2)
+			require.NoError(t, err, "a cold upstream is warmed by any attempt")
+			time.Sleep(service)
+			u.Finish(s, target.Result{Signal: signal.Signal{Incarnation: "a-1", Load: -1}})
+		}
+		_, err := acquire(service / 2)
+		var late *queue.Error
+		require.ErrorAs(t, err, &late)
+		s, err := acquire(2 * service)
+		require.NoError(t, err)
+		u.Return(s)
+		time.Sleep(2 * time.Second)
+		_, err = acquire(service / 2)
+		require.NoError(t, err, "an old service time refuses nothing")
+	})
+}
