--- a/internal/serve/instance/status.go
+++ b/internal/serve/instance/status.go
@@ -6,6 +6,7 @@
 
 	"crocuswing/internal/fleet/evidence"
 	"crocuswing/internal/operator/status"
+	"crocuswing/internal/upstream/warmup"
 )
 
 // Status describes the instance for operators.
@@ -36,7 +37,7 @@
 	}
 	for _, t := range i.directory.Targets() {
 		s.Upstreams++
-		if t.IsCold() {
+		if t.Phase(now) == warmup.Cold {
 			s.Cold = append(s.Cold, t.Name())
 		}
 	}
--- a/internal/serve/instance/upstream.go
+++ b/internal/serve/instance/upstream.go
@@ -28,6 +28,7 @@
 func (i *Instance) upstreamGauges() {
 	i.metrics.Gauge("crocuswing_upstream_homes", func() float64 { return float64(i.directory.Summary().Homes) })
 	i.metrics.Gauge("crocuswing_upstream_cold", func() float64 { return float64(i.directory.Summary().Cold) })
+	i.metrics.Gauge("crocuswing_upstream_unproven", func() float64 { return float64(i.directory.Summary().Unproven) })
 	i.metrics.Gauge("crocuswing_upstream_in_flight", func() float64 { return float64(i.directory.Summary().InFlight) })
 	i.metrics.Gauge("crocuswing_upstream_waiting", func() float64 { return float64(i.directory.Summary().Waiting) })
 }
--- a/internal/upstream/directory/directory.go
+++ b/internal/upstream/directory/directory.go
@@ -6,6 +6,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"crocuswing/internal/config/service"
 	"crocuswing/internal/fleet/member"
@@ -15,6 +16,7 @@
 	"crocuswing/internal/upstream/link"
 	"crocuswing/internal/upstream/signal"
 	"crocuswing/internal/upstream/target"
+	"crocuswing/internal/upstream/warmup"
 	"crocuswing/internal/wire/order"
 	"crocuswing/internal/wire/part"
 )
@@ -140,8 +142,8 @@
 type Summary struct {
 	// Homes is the number of those of which it is a home.
 	Homes int
-	// Cold is the number of those homes that are not known to be warm.
-	Cold int
+	// Cold and Unproven count those that warm up, and those without recent evidence of their warmth.
+	Cold, Unproven int
 	// InFlight and Waiting count the requests at and before those homes.
 	InFlight, Waiting int
 }
@@ -150,14 +152,19 @@
 func (d *Directory) Summary() Summary {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
+	now := time.Now()
 	var s Summary
 	for _, e := range d.entries {
 		if e.link == nil {
 			continue
 		}
 		s.Homes++
-		if e.IsCold() {
+		switch e.Phase(now) {
+		case warmup.Cold:
 			s.Cold++
+		case warmup.Unproven:
+			s.Unproven++
+		case warmup.Warm:
 		}
 		inFlight, waiting := e.Work()
 		s.InFlight += inFlight
--- a/internal/upstream/directory/directory_test.go
+++ b/internal/upstream/directory/directory_test.go
@@ -222,3 +222,13 @@
 	require.Len(t, d.Targets(), 1, "an upstream that is no longer named is dropped")
 	require.Zero(t, *f.open["upstream-1"])
 }
+
+func TestSummary(t *testing.T) {
+	f := newFleet("instance-0")
+	d := f.directories["instance-0"]
+	d.Update(world{instances: names(0, 1), upstreams: 3, domains: 1}.view(t))
+	x, _ := d.Target("upstream-0")
+	_, err := x.Acquire(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, directory.Summary{Homes: 3, Cold: 3, InFlight: 1}, d.Summary())
+}
