--- a/internal/order/desk/world_test.go
+++ b/internal/order/desk/world_test.go
@@ -53,6 +53,7 @@
 	desks       map[string]*process
 	incarnation uint64
 	ran         map[string]int // by body
+	forwards    int            // calls between processes
 }
 
 // process is one incarnation of an instance. It is a Sender and a Forwarder that dies with it.
@@ -92,7 +93,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.incarnation++
-	p.Desk = desk.New(name, w.incarnation, key, p, p, w.fresh)
+	p.Desk = desk.New(name, w.incarnation, key, p, minter{p}, w.fresh)
 	if old, ok := w.desks[name]; ok {
 		close(old.dead)
 	}
@@ -184,6 +185,9 @@
 	}
 	time.Sleep(time.Millisecond)
 	to := w.process(owner)
+	w.mu.Lock()
+	w.forwards++
+	w.mu.Unlock()
 	if w.roll("lost", event) < w.fault.lost || !to.wake(ctx) {
 		<-ctx.Done()
 		return outcome.Outcome{}, ctx.Err()
@@ -196,6 +200,18 @@
 	return o, nil
 }
 
+// minter takes tickets from the other processes.
+type minter struct{ *process }
+
+func (m minter) Mint(_ context.Context, c desk.Claim) (desk.Grant, error) {
+	for _, name := range instances {
+		if g, err := m.world.process(name).MintFor(c); err == nil {
+			return g, nil
+		}
+	}
+	return desk.Grant{}, errLost
+}
+
 // notSent is the failure of an attempt that is proven not to have run.
 func notSent(kind string) func(context.Context, *world, order.Request) (order.Reply, error) {
 	return func(context.Context, *world, order.Request) (order.Reply, error) {
--- a/internal/serve/instance/stop.go
+++ b/internal/serve/instance/stop.go
@@ -12,13 +12,13 @@
 
 const (
 	finishTimeout = 30 * time.Second
-	hurryGrace    = time.Second // for what can still be told after the stop was cut short
 )
 
 // stop serves on through the balancer's lag, then finishes what is in flight: first the requests of
 // callers, then the work of other instances and the orders.
 func (i *Instance) stop(callers *http.Server, peerCalls *server.Server) {
 	i.stopping.Store(true)
+	i.desk.Stop()
 	i.follower.Leave()
 	i.flight.Leave()
 	i.log.Info("instance drains", zap.Int("delay-ms", i.settings.DrainDelayMS))
