--- a/internal/upstream/directory/directory_bench_test.go
+++ b/internal/upstream/directory/directory_bench_test.go
@@ -36,6 +36,7 @@
 					d.Update(v)
 				}
 				held := float64(heap() - before)
+				runtime.KeepAlive(v)
 				b.ReportMetric(held/float64(n), "B/upstream")
 				b.ReportMetric(held/(1<<20), "MiB")
 				homes := 0
