--- a/internal/upstream/dispatch/fault_test.go
+++ b/internal/upstream/dispatch/fault_test.go
@@ -177,7 +177,7 @@
 // changeFirst lists the first home as gone in the warm-up, while it still runs and reads the list.
 func changeFirst(f *fleet) {
 	time.Sleep(2 * coldFactor * serviceTime)
-	f.publishTo(f.instances(), without(f.instances(), f.first().name), nil)
+	f.publishTo(f.instances(), without(f.instances(), f.first("a").name), nil)
 }
 
 func without(names []string, name string) []string {
@@ -187,7 +187,7 @@
 // loseFirst ends the first home in the warm-up; the list lags by a second.
 func loseFirst(f *fleet) {
 	time.Sleep(2 * coldFactor * serviceTime)
-	lost := f.first()
+	lost := f.first("a")
 	lost.gone.Store(true)
 	time.Sleep(time.Second)
 	f.publish(without(f.instances(), lost.name), nil)
@@ -195,7 +195,7 @@
 
 func pauseFirst(f *fleet) {
 	time.Sleep(2 * coldFactor * serviceTime)
-	resume := f.first().pause()
+	resume := f.first("a").pause()
 	time.Sleep(2 * time.Second)
 	resume()
 }
@@ -203,7 +203,7 @@
 // splitFleet gives two parts of the fleet views that list only themselves.
 func splitFleet(f *fleet) {
 	f.servers["a"].change(func() { f.servers["a"].extra = bounds.ColdSlots })
-	first := f.first().name
+	first := f.first("a").name
 	here, there := []string{first}, []string{}
 	for _, name := range f.instances() {
 		if name != first && len(here) < 2 {
--- a/internal/upstream/dispatch/fleet_test.go
+++ b/internal/upstream/dispatch/fleet_test.go
@@ -151,8 +151,8 @@
 	return t.Homes(x.directory.Ranking())
 }
 
-// first is the first home of server a.
-func (f *fleet) first() *node { return f.nodes[f.homes("a")[0]] }
+// first is the first home of a server.
+func (f *fleet) first(server string) *node { return f.nodes[f.homes(server)[0]] }
 
 // cut separates the instances that part tells apart.
 func (f *fleet) cut(isCut func(a, b string) bool) {
