--- a/internal/upstream/dispatch/fleet_test.go
+++ b/internal/upstream/dispatch/fleet_test.go
@@ -151,6 +151,7 @@
 	return t.Homes(x.directory.Ranking())
 }
 
+// first is the first home of a server.
 func (f *fleet) first(server string) *node { return f.nodes[f.homes(server)[0]] }
 
 // cut separates the instances that part tells apart.
