--- a/internal/upstream/queue/queue.go
+++ b/internal/upstream/queue/queue.go
@@ -31,16 +31,17 @@
 type Waiter struct {
 	ended    chan struct{}
 	deadline time.Time
-	granted  bool
+	granted  time.Time // zero unless it was granted a slot
 }
 
 // Ended is closed when the waiter was granted a slot or refused.
 func (w *Waiter) Ended() <-chan struct{} { return w.ended }
 
-// IsGranted tells whether the ended waiter holds a slot.
-func (w *Waiter) IsGranted() bool { return w.granted }
+// Granted is the time at which the ended waiter got a slot, and false if it was refused.
+func (w *Waiter) Granted() (time.Time, bool) { return w.granted, !w.granted.IsZero() }
 
-// Deadline is the time by which the waiter gives up.
+// Deadline is the time by which the waiter gives up: it has waited too long, or could no longer be
+// answered in time.
 func (w *Waiter) Deadline() time.Time { return w.deadline }
 
 // Load is the work ahead of a new request.
@@ -66,8 +67,8 @@
 	if late || wait > MaxWait || len(q.waiters) >= maxLength*limit {
 		return nil, &Error{Wait: wait, Length: len(q.waiters)}
 	}
-	if !deadline.IsZero() && deadline.Before(latest) {
-		latest = deadline
+	if start := deadline.Add(-l.Service); !deadline.IsZero() && start.Before(latest) {
+		latest = start // after that the deadline cannot be met
 	}
 	w := &Waiter{ended: make(chan struct{}), deadline: latest}
 	q.waiters = append(q.waiters, w)
@@ -81,9 +82,12 @@
 		w := q.waiters[0]
 		q.waiters[0] = nil
 		q.waiters = q.waiters[1:]
-		w.granted = now.Before(w.deadline)
+		inTime := now.Before(w.deadline)
+		if inTime {
+			w.granted = now
+		}
 		close(w.ended)
-		if w.granted {
+		if inTime {
 			return true
 		}
 	}
