fix: one joined request that hung up does not turn a whole answer into a failure

Cause: the last of the requests that share an execution decided whether an identical one that follows is a retry. Change: a whole answer to any of them counts.

--- a/internal/entry/admission/admission_test.go
+++ b/internal/entry/admission/admission_test.go
@@ -115,12 +115,14 @@
 		name  string
 		whole bool          // the first got its whole answer
 		open  bool          // the first is still in flight
+		hung  bool          // one that joined it hung up
 		after time.Duration // since its end
 		busy  bool          // others wait
 		want  Decision
 	}{
 		{name: "after a whole answer", whole: true},
 		{name: "after a whole answer while others wait", whole: true, busy: true, want: RefusedRepeat},
+		{name: "after a whole answer that a joined one did not get", whole: true, hung: true},
 		{name: "while in flight", open: true},
 		{name: "after a failure", want: RefusedRepeat},
 		{name: "long after a failure", after: 11 * time.Second},
@@ -132,9 +134,18 @@
 				exhaust(t, a, q)
 				g, err := a.Admit(context.Background(), q)
 				require.NoError(t, err)
+				joined := g
+				if tc.hung {
+					joined, err = a.Admit(context.Background(), q)
+					require.NoError(t, err)
+					require.True(t, joined.Joined)
+				}
 				if !tc.open {
 					g.Release(tc.whole)
 				}
+				if tc.hung {
+					joined.Release(false)
+				}
 				time.Sleep(tc.after)
 				if tc.busy {
 					for n := range 5 {
--- a/internal/entry/repeat/repeat.go
+++ b/internal/entry/repeat/repeat.go
@@ -46,7 +46,7 @@
 // entry is what is known about one body.
 type entry struct {
 	inFlight int
-	whole    bool
+	whole    bool // one of the last execution's callers got the whole answer
 	at       time.Time // of the last end
 }
 
@@ -100,6 +100,9 @@
 		return
 	}
 	e := h.entries[key]
+	if e.inFlight == 0 {
+		e.whole = false
+	}
 	e.inFlight++
 	h.entries[key] = e
 }
@@ -111,7 +114,7 @@
 	}
 	e := h.entries[key]
 	e.inFlight--
-	e.whole = whole
+	e.whole = e.whole || whole
 	e.at = now
 	h.entries[key] = e
 	h.order = append(h.order, ended{key: key, at: now})
