--- a/internal/entry/repeat/repeat.go
+++ b/internal/entry/repeat/repeat.go
@@ -46,7 +46,7 @@
 // entry is what is known about one body.
 type entry struct {
 	inFlight int
-	whole    bool // one of the last execution's callers got the whole answer
+	whole    bool      // one of the last execution's callers got the whole answer
 	at       time.Time // of the last end
 }
 
