--- a/internal/entry/admission/admission_test.go
+++ b/internal/entry/admission/admission_test.go
@@ -115,12 +115,14 @@
 		name  string
 		whole bool          // the first got its whole answer
 		open  bool          // the first is still in flight
+		hung  bool          // one that joined it hung up
 		after time.Duration // since its end
 		busy  bool          // others wait
 		want  Decision
 	}{
 		{name: "after a whole answer", whole: true},
 		{name: "after a whole answer while others wait", whole: true, busy: true, want: RefusedRepeat},
+		{name: "after a whole answer that a joined one did not get", whole: true, hung: true},
 		{name: "while in flight", open: true},
 		{name: "after a failure", want: RefusedRepeat},
 		{name: "long after a failure", after: 11 * time.Second},
@@ -132,9 +134,18 @@
 				exhaust(t, a, q)
 				g, err := a.Admit(context.Background(), q)
 				require.NoError(t, err)
+				joined := g
+				if tc.hung {
+					joined, err = a.Admit(context.Background(), q)
+					require.NoError(t, err)
+					require.True(t, joined.Joined)
+				}
 				if !tc.open {
 					g.Release(tc.whole)
 				}
+				if tc.hung {
+					joined.Release(false)
+				}
 				time.Sleep(tc.after)
 				if tc.busy {
 					for n := range 5 {
@@ -153,6 +164,31 @@
 	}
 }
 
+// TestRepeatInTheQueue lets two identical requests wait: the second has become a repeat when its turn comes.
+func TestRepeatInTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := New()
+		q := Request{Caller: "a", Class: class.Class{Concurrency: 1, Cost: 1, Queue: 2}, Cost: 1, Key: 7}
+		exhaust(t, a, q)
+		holder, err := a.Admit(context.Background(), Request{Caller: "a", Class: q.Class, Cost: 1, Key: 1})
+		require.NoError(t, err)
+		errs := make(chan error, 2)
+		for range 2 {
+			go func() {
+				g, err := a.Admit(context.Background(), q)
+				if err == nil {
+					g.Release(false)
+				}
+				errs <- err
+			}()
+		}
+		synctest.Wait()
+		holder.Release(true)
+		require.NoError(t, <-errs)
+		requireDecision(t, RefusedRepeat, <-errs)
+	})
+}
+
 // exhaust uses the repeat that passes without budget.
 func exhaust(t *testing.T, a *Admission, q Request) {
 	q.Key = 1 << 40
