--- a/internal/entry/handler/handler.go
+++ b/internal/entry/handler/handler.go
@@ -26,10 +26,7 @@
 	"crocuswing/internal/wire/header"
 )
 
-const (
-	maxBodyBytes      = 1 << 20
-	retryAfterSeconds = "1"
-)
+const maxBodyBytes = 1 << 20
 
 // Viewer gives a view that is fresh enough for new work.
 type Viewer interface {
@@ -54,7 +51,7 @@
 func New(v Viewer, r *run.Runner, d *desk.Desk, m *metric.Metrics, prefix string) *Handler {
 	h := &Handler{
 		viewer:    v,
-		admission: admission.New(),
+		admission: admission.New(admission.WithObserver(countAdmissions(m))),
 		runner:    r,
 		flight:    flight.New(),
 		desk:      d,
@@ -62,6 +59,7 @@
 		prefix:    prefix,
 		mux:       http.NewServeMux(),
 	}
+	m.Gauge("crocuswing_reads_joined", func() float64 { return float64(h.flight.Joined()) })
 	h.mux.HandleFunc("POST /v1/search", h.serve("search", h.search))
 	h.mux.HandleFunc("POST /v1/lookup", h.serve("lookup", h.lookup))
 	h.mux.HandleFunc("POST /v1/tickets", h.serve("ticket", h.mint))
@@ -163,11 +161,12 @@
 	if s, ok := q.view.Config().Service(rq.Service); ok && rq.Key == "" {
 		cost = len(s.Current().Shards)
 	}
-	release, err := h.admission.Admit(q.caller.Name, q.class, cost)
+	grant, err := h.admit(q, cost, keyOf(rq))
 	if err != nil {
 		return nil, err
 	}
-	defer release()
+	whole := false
+	defer func() { grant.Release(whole) }()
 	k := flight.Key{
 		Caller:   q.caller.Name,
 		Revision: q.view.Config().Revision(),
@@ -178,15 +177,14 @@
 	a, err := h.flight.Do(q.Context(), k, q.view.Config().Preset().Deadline(), func(ctx context.Context) (answer.Answer, error) {
 		return h.runner.Run(ctx, q.view, rq)
 	})
+	whole = err == nil && a.Coverage.Answered == a.Coverage.Total
 	a.RequestID = q.id
 	return a, err
 }
 
 func (h *Handler) refuse(w http.ResponseWriter, id, state string, err error) {
 	status := statusOf(err)
-	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", retryAfterSeconds)
-	}
+	setRetryAfter(w.Header(), status, err)
 	m := call.Refusal{RequestID: id, Outcome: state, Reason: err.Error(), NotForwarded: state == outcome.Unknown}
 	var refused *orderRefusal
 	if errors.As(err, &refused) {
--- a/internal/order/desk/desk_test.go
+++ b/internal/order/desk/desk_test.go
@@ -420,3 +420,36 @@
 		})
 	}
 }
+
+// TestForwardCost counts the calls between instances of an order without faults.
+func TestForwardCost(t *testing.T) {
+	f := newFresh(t)
+	for n, want := range []int{0, 1, 1, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(f, 1, fault{})
+			p := placement(t, w.process(instances[0]), "order")
+			require.Equal(t, outcome.Done, w.process(instances[n]).Place(t.Context(), p).State)
+			require.Equal(t, want, w.forwards)
+		})
+	}
+}
+
+// instant is a Sender that answers at once.
+type instant struct{ pair }
+
+func (instant) Order(_ context.Context, _ string, q order.Request) (order.Reply, error) {
+	return order.Reply{RequestID: q.RequestID, OrderID: "order"}, nil
+}
+
+func BenchmarkMintAndPlace(b *testing.B) {
+	d := desk.New("south-1", 1, key, instant{}, nil, newFresh(b),
+		desk.WithTable(table.New(table.WithLife(time.Second/10), table.WithRetention(0))))
+	b.ReportAllocs()
+	for b.Loop() {
+		g, _ := d.MintOwn(claim)
+		p := desk.Placement{Ticket: g.Ticket, Caller: "tablet", Service: "order-entry", Key: "k", Body: "b"}
+		if o := d.Place(context.Background(), p); o.State != outcome.Done {
+			b.Fatal(o.Reason)
+		}
+	}
+}
--- a/internal/upstream/target/target.go
+++ b/internal/upstream/target/target.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,10 @@
 
 	latencyWeight = 0.2 // weight of the newest sample in the mean
 	maxRetryAfter = 10 * time.Second
+
+	overdueFactor = 8 // multiple of the recent service time from which an attempt is overdue
+	minOverdue    = 20 * time.Millisecond
+	maxSampleAge  = time.Second // age from which the recent service time refuses nothing
 )
 
 // Role is the part that this instance plays for an upstream under the present view.
@@ -58,8 +63,26 @@
 	warmup    warmup.Warmup
 	limit     limit.Limit
 	queue     queue.Queue
-	inFlight  int
-	heldUntil time.Time // a new first home sends nothing before
+	starts    []time.Time // of the attempts in flight, oldest first
+	answered  time.Time   // the last success
+	heldUntil time.Time   // a new first home sends nothing before
+}
+
+func (w *work) inFlight() int { return len(w.starts) }
+
+// start takes a slot.
+func (w *work) start(now time.Time) { w.starts = append(w.starts, now) }
+
+// end gives back a slot that was taken at the given time.
+func (w *work) end(started time.Time) {
+	if n := slices.IndexFunc(w.starts, started.Equal); n >= 0 {
+		w.starts = slices.Delete(w.starts, n, n+1)
+	}
+}
+
+// overdueAt is the time from which the oldest attempt in flight is overdue.
+func (w *work) overdueAt() time.Time {
+	return w.starts[0].Add(max(minOverdue, overdueFactor*w.limit.Latency()))
 }
 
 // route is the list of homes, valid for one group and count.
@@ -114,7 +137,7 @@
 		t.work = &work{warmup: warmup.New(t.contract.WarmAfter), limit: limit.New(t.contract.ColdSlots, r.Share)}
 	case r.IsHome:
 		t.work.limit = t.work.limit.WithMost(r.Share)
-	case t.work != nil && t.work.inFlight == 0:
+	case t.work != nil && t.work.inFlight() == 0:
 		t.work.queue.Refuse()
 		t.work = nil
 	}
@@ -140,14 +163,19 @@
 		return Slot{}, err
 	}
 	t.settle(now)
-	if t.work.inFlight < t.allowed(now) {
-		t.work.inFlight++
+	deadline, bounded := start.Deadline(ctx)
+	if bounded && t.isTooLate(now, deadline) {
+		err := &queue.Error{Wait: t.work.limit.Latency()}
+		t.mu.Unlock()
+		return Slot{}, err
+	}
+	if t.work.inFlight() < t.allowed(now) {
+		t.work.start(now)
 		s := t.slot(now)
 		t.mu.Unlock()
 		return s, nil
 	}
-	deadline, _ := start.Deadline(ctx)
-	load := queue.Load{Limit: t.allowed(now), Service: t.work.limit.Latency()}
+	load := queue.Load{Limit: t.limit(now), Service: t.work.limit.Latency()}
 	w, err := t.work.queue.Enter(now, deadline, load)
 	t.mu.Unlock()
 	if err != nil {
@@ -156,27 +184,65 @@
 	return t.wait(ctx, w)
 }
 
+// isTooLate tells whether the deadline cannot be met, as far as recent answers of a warm upstream tell.
+// To a cold one the attempt is sent all the same: it runs out without its caller and warms it.
+func (t *Target) isTooLate(now, deadline time.Time) bool {
+	isRecent := now.Sub(t.work.answered) < maxSampleAge && t.work.warmup.Phase(now) == warmup.Warm
+	return isRecent && now.Add(t.work.limit.Latency()).After(deadline)
+}
+
+// wait ends when the waiter has ended, its deadline has passed or ctx has ended. When the oldest attempt
+// in flight becomes overdue meanwhile, one more may be sent.
 func (t *Target) wait(ctx context.Context, w *queue.Waiter) (Slot, error) {
-	timer := time.NewTimer(time.Until(w.Deadline()))
+	timer := time.NewTimer(t.nextCheck(w))
 	defer timer.Stop()
-	select {
-	case <-w.Ended():
-	case <-timer.C:
-	case <-ctx.Done():
+	for {
+		select {
+		case <-w.Ended():
+			return t.ended(ctx, w)
+		case <-ctx.Done():
+			return t.ended(ctx, w)
+		case <-timer.C:
+		}
+		if !time.Now().Before(w.Deadline()) {
+			return t.ended(ctx, w)
+		}
+		t.wake()
+		timer.Reset(t.nextCheck(w))
 	}
+}
+
+// nextCheck is the time until the waiter's deadline, or until the oldest attempt in flight is overdue.
+func (t *Target) nextCheck(w *queue.Waiter) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	at := w.Deadline()
+	if t.work == nil || t.work.inFlight() == 0 {
+		return at.Sub(now)
+	}
+	if overdue := t.work.overdueAt(); overdue.After(now) && overdue.Before(at) {
+		at = overdue
+	}
+	return at.Sub(now)
+}
+
+// ended gives the slot of a waiter that was granted one and may still send.
+func (t *Target) ended(ctx context.Context, w *queue.Waiter) (Slot, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
 	if t.work != nil && t.work.queue.Leave(w) {
 		return Slot{}, waitError(ctx, queue.MaxWait)
 	}
-	if !w.IsGranted() {
+	granted, ok := w.Granted()
+	if !ok {
 		return Slot{}, t.refusedWait(ctx, now)
 	}
-	if ctx.Err() == nil && t.refusal(now) == nil && t.work.inFlight <= t.allowed(now) {
-		return t.slot(now), nil
+	if ctx.Err() == nil && t.refusal(now) == nil && t.mayKeep(now) {
+		return t.slot(granted), nil
 	}
-	t.work.inFlight--
+	t.work.end(granted)
 	t.settle(now)
 	return Slot{}, t.refusedWait(ctx, now)
 }
@@ -211,8 +277,8 @@
 	return nil
 }
 
-// allowed is the number of requests that this home may have in flight now.
-func (t *Target) allowed(now time.Time) int {
+// limit is the number of requests that this home may have in flight now.
+func (t *Target) limit(now time.Time) int {
 	switch {
 	case t.work.warmup.Phase(now) == warmup.Warm:
 		return t.work.limit.Value()
@@ -222,104 +288,33 @@
 	return t.contract.ColdSlots
 }
 
-// settle grants free slots to waiting requests, or refuses them if nothing may be sent any more.
-func (t *Target) settle(now time.Time) {
-	if t.work == nil {
-		return
-	}
-	if t.refusal(now) != nil {
-		t.work.queue.Refuse()
-		return
-	}
-	for t.work.inFlight < t.allowed(now) && t.work.queue.Grant(now) {
-		t.work.inFlight++
-	}
-}
-
-// Phase tells what this instance knows about the upstream's warmth at now.
-func (t *Target) Phase(now time.Time) warmup.Phase {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	switch {
-	case t.work != nil:
-		return t.work.warmup.Phase(now)
-	case t.toldWarm:
-		return warmup.Warm
-	}
-	return warmup.Cold
-}
-
-// Incarnation is the upstream's last one that this home knows.
-func (t *Target) Incarnation() string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.work == nil {
-		return ""
+// allowed is the limit, and one more to a warm upstream while the oldest attempt in flight is overdue:
+// its connection may be silent, which only later attempts can tell.
+func (t *Target) allowed(now time.Time) int {
+	limit := t.limit(now)
+	if t.work.inFlight() > 0 && t.work.warmup.Phase(now) == warmup.Warm && !now.Before(t.work.overdueAt()) {
+		limit++
 	}
-	return t.work.warmup.Incarnation()
+	return limit
 }
 
-// IsDoubted tells whether this home itself saw the upstream become cold.
-func (t *Target) IsDoubted() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.work != nil && t.work.warmup.HasRestarted()
+// mayKeep tells whether a slot that was granted a moment ago may still be used.
+func (t *Target) mayKeep(now time.Time) bool {
+	return t.work.warmup.Phase(now) == warmup.Warm || t.work.inFlight() <= t.limit(now)
 }
 
-// IsCold tells whether the upstream is not known to be warm.
-func (t *Target) IsCold() bool { return t.Phase(time.Now()) != warmup.Warm }
-
-// IsOpen tells whether the upstream is neither leaving nor shedding at now.
-func (t *Target) IsOpen(now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return !t.departure.IsLeaving(now) && !now.Before(t.shedUntil)
-}
-
-// Busy is the number of requests in flight or waiting here, also those through other homes.
-func (t *Target) Busy() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+// settle grants free slots to waiting requests, or refuses them if nothing may be sent any more.
+func (t *Target) settle(now time.Time) {
 	if t.work == nil {
-		return t.relays
+		return
 	}
-	return t.work.inFlight + t.work.queue.Len() + t.relays
-}
-
-// Limit is the number of requests that this instance may have in flight to the upstream now.
-func (t *Target) Limit() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
 	if t.refusal(now) != nil {
-		return 0
+		t.work.queue.Refuse()
+		return
 	}
-	return t.allowed(now)
-}
-
-// Latency is the weighted mean of recent service times.
-func (t *Target) Latency() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.latency
-}
-
-// Load is the share of its slots that the upstream last reported to be in use, 0 to 1.
-func (t *Target) Load() float64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.load
-}
-
-// Report is the load that the upstream last reported and the age of that report at now; the load is
-// negative if there was none.
-func (t *Target) Report(now time.Time) (load float64, age time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.reported.IsZero() {
-		return -1, 0
+	for t.work.inFlight() < t.allowed(now) && t.work.queue.Grant(now) {
+		t.work.start(now)
 	}
-	return t.load, now.Sub(t.reported)
 }
 
 // note records what an answer or a notice tells besides its result.
