fix: the last home serves on through the balancer's lag

Cause: an instance that leaves took itself off the homes even when no other was left, and answered with empty coverage while the balancer still sent. Change: instances that leave stay candidates as the last choice.

--- a/internal/serve/instance/instance_test.go
+++ b/internal/serve/instance/instance_test.go
@@ -202,6 +202,23 @@
 	require.Len(t, lost[0].ContextMap()["orders-unknown"], 1)
 }
 
+// TestLastOneServesOn stops the only instance: through the balancer's lag it answers as before.
+func TestLastOneServesOn(t *testing.T) {
+	f, all := start(t, 1, longDelayMS)
+	f.slowDown(all, serviceMS)
+	require.NoError(t, f.search(all[0].address, "before"))
+	all[0].stop()
+	f.await(func() bool { return !all[0].Status().Ready })
+	f.await(func() bool { return all[0].logs.FilterMessage("peers judged by contact").Len() == 1 })
+	for n := range 20 {
+		a, err := f.caller.Search(t.Context(), all[0].address, fmt.Sprint("lag-", n), call.Search{Service: backend.SearchService, Query: "q"})
+		require.NoError(t, err)
+		require.Equal(t, a.Coverage.Total, a.Coverage.Answered)
+	}
+	all[0].hurry <- syscall.SIGTERM
+	require.NoError(t, <-all[0].ended)
+}
+
 // TestRollingReplacement replaces all four instances in turn under load.
 func TestRollingReplacement(t *testing.T) {
 	f, all := start(t, 4, drainDelayMS)
--- a/internal/serve/instance/order_test.go
+++ b/internal/serve/instance/order_test.go
@@ -16,7 +16,7 @@
 
 // TestMintFor takes a ticket over the framing, as an instance does that stops.
 func TestMintFor(t *testing.T) {
-	f, all := start(t, 1)
+	f, all := start(t, 1, drainDelayMS)
 	list, _, err := f.Platform.Listing(t.Context(), 0, 0)
 	require.NoError(t, err)
 	at := slices.IndexFunc(list.Members, func(m member.Member) bool { return m.Name == all[0].name })
--- a/internal/upstream/directory/directory.go
+++ b/internal/upstream/directory/directory.go
@@ -247,23 +247,28 @@
 }
 
 // candidates gives the instances that may be homes: those that are not leaving, in failure domains
-// that are not out. If all domains are out, their instances stay, so that work can end.
+// that are not out. If there are none, those in domains that are out stay, and else those that are
+// leaving, so that work can end.
 func candidates(v view.View) []home.Candidate {
-	var in, out []home.Candidate
-	for _, m := range v.Listed() {
+	var in, out, left []home.Candidate
+	for _, m := range v.Roster().Of(member.KindInstance) {
 		c := home.Candidate{Name: m.Name, Place: home.Place{FailureDomain: m.FailureDomain, Region: m.Region}}
 		switch {
-		case v.HasLeft(m.Name):
+		case m.State == member.StateLeaving || v.HasLeft(m.Name):
+			left = append(left, c)
 		case v.Config().IsOut(m.FailureDomain):
 			out = append(out, c)
 		default:
 			in = append(in, c)
 		}
 	}
-	if len(in) == 0 {
+	switch {
+	case len(in) > 0:
+		return in
+	case len(out) > 0:
 		return out
 	}
-	return in
+	return left
 }
 
 // follow brings one upstream's entry up to date; permitted tells whether the view permits new work.
