fix: waiting for orders while others begin cannot panic

Cause: a sync.WaitGroup panics if its counter leaves zero while a waiter wakes; in a planned stop forwarded orders may begin just then. Asking and withdrawing were not bounded by the caller's class. Change: the table tells when no order runs; asks and withdrawals are admitted.

--- a/internal/entry/handler/order.go
+++ b/internal/entry/handler/order.go
@@ -105,7 +105,13 @@
 
 func (h *Handler) withdraw(q request) (any, error) { return h.about(q, desk.Withdraw) }
 
+// about asks or withdraws. A refusal for load leaves the ticket as it is.
 func (h *Handler) about(q request, action string) (any, error) {
+	release, err := h.admission.Admit(q.caller.Name, q.class, 1)
+	if err != nil {
+		return nil, err
+	}
+	defer release()
 	ctx, cancel := orderContext(q)
 	defer cancel()
 	p := desk.Placement{Ticket: q.PathValue("ticket"), Caller: q.caller.Name, Action: action}
--- a/internal/entry/handler/order_test.go
+++ b/internal/entry/handler/order_test.go
@@ -194,6 +194,11 @@
 		require.Equal(t, http.StatusTooManyRequests, status)
 		require.Equal(t, c.state, m.State)
 	}
+	for _, method := range []string{http.MethodGet, http.MethodDelete} {
+		status, m := x.call(method, "/v1/orders/"+other, "")
+		require.Equal(t, http.StatusTooManyRequests, status)
+		require.Equal(t, outcome.Unknown, m.State)
+	}
 	close(x.held)
 	require.Equal(t, outcome.Done, (<-running).State)
 	status, m := x.call(http.MethodPost, "/v1/orders", body(own, "order-entry"))
--- a/internal/order/desk/desk.go
+++ b/internal/order/desk/desk.go
@@ -11,7 +11,6 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -115,7 +114,6 @@
 	sender      Sender
 	forwarder   Forwarder
 	viewer      Viewer
-	running     sync.WaitGroup
 	stopping    atomic.Bool
 }
 
@@ -225,15 +223,11 @@
 	return o.WithReference(t.Reference())
 }
 
-// Wait blocks until no order runs any more or ctx ends, and gives the number of orders that still run.
+// Wait blocks until no order runs or ctx ends, and gives the number of orders that still run.
+// Orders may begin meanwhile.
 func (d *Desk) Wait(ctx context.Context) int {
-	finished := make(chan struct{})
-	go func() {
-		d.running.Wait()
-		close(finished)
-	}()
 	select {
-	case <-finished:
+	case <-d.table.Idle():
 	case <-ctx.Done():
 	}
 	return d.table.Stats().Running
@@ -273,7 +267,7 @@
 	}
 	if first {
 		start := startBy(ctx, time.Now())
-		d.running.Go(func() { e.Finish(d.run(context.WithoutCancel(ctx), start, t, p)) })
+		go func() { e.Finish(d.run(context.WithoutCancel(ctx), start, t, p)) }()
 	}
 	return wait(ctx, e)
 }
--- a/internal/order/desk/desk_test.go
+++ b/internal/order/desk/desk_test.go
@@ -406,6 +406,7 @@
 				ctx, cancel := context.WithTimeout(t.Context(), c.wait)
 				defer cancel()
 				require.Equal(t, c.left, owner.Wait(ctx))
+				require.Equal(t, c.left > 0, ctx.Err() != nil)
 				if c.left == 0 {
 					require.Equal(t, outcome.Done, (<-answered).State)
 				}
--- a/internal/order/table/table.go
+++ b/internal/order/table/table.go
@@ -44,6 +44,7 @@
 	last    *Entry
 	bytes   int
 	running int
+	idle    chan struct{} // closed while no order runs
 	refused uint64
 	dropped uint64
 }
@@ -104,6 +105,7 @@
 		life:       defaultLife,
 		retention:  defaultRetention,
 		entries:    make(map[uint64]*Entry),
+		idle:       finished,
 	}
 	for _, o := range options {
 		o(t)
@@ -182,6 +184,13 @@
 	return Stats{Tickets: len(t.entries), Running: t.running, Bytes: t.bytes, Refused: t.refused, Dropped: t.dropped}
 }
 
+// Idle is closed when no order runs. An order that begins later has another channel.
+func (t *Table) Idle() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.idle
+}
+
 // without tells what is known of a ticket without an entry, and whether an order may begin under it.
 // An entry is never dropped before the end of its ticket.
 func (t *Table) without(id uint64, end time.Duration) (o outcome.Outcome, open bool) {
@@ -255,7 +264,9 @@
 	t.entries[id] = e
 	t.enqueue(e)
 	t.bytes += maxEntryBytes
-	t.running++
+	if t.running++; t.running == 1 {
+		t.idle = make(chan struct{})
+	}
 	return e
 }
 
@@ -275,9 +286,11 @@
 	defer t.mu.Unlock()
 	e.outcome = o.Bounded()
 	t.bytes -= maxEntryBytes - entryBytes - e.outcome.Bytes()
-	t.running--
 	close(e.done)
 	e.done = finished
+	if t.running--; t.running == 0 {
+		close(t.idle)
+	}
 }
 
 // Done is closed when the outcome is known.
