--- a/internal/entry/handler/order.go
+++ b/internal/entry/handler/order.go
@@ -71,14 +71,14 @@
 	ctx, cancel := orderContext(q)
 	defer cancel()
 	p := desk.Placement{Ticket: m.Ticket, Caller: q.caller.Name, Service: m.Service, Key: m.Key, Body: m.Body}
-	release, err := h.admission.Admit(q.caller.Name, q.class, 1)
+	grant, err := h.admit(q, 1, bareKey)
 	if err != nil && m.Ticket != "" {
 		return h.settle(q, h.desk.Refuse(ctx, p, err.Error()), "")
 	}
 	if err != nil {
 		return nil, err
 	}
-	defer release()
+	defer grant.Release(true)
 	if m.Ticket != "" {
 		return h.settle(q, h.desk.Place(ctx, p), "")
 	}
