--- a/internal/entry/handler/order.go
+++ b/internal/entry/handler/order.go
@@ -107,11 +107,11 @@
 
 // about asks or withdraws. A refusal for load leaves the ticket as it is.
 func (h *Handler) about(q request, action string) (any, error) {
-	release, err := h.admission.Admit(q.caller.Name, q.class, 1)
+	grant, err := h.admit(q, 1, bareKey)
 	if err != nil {
 		return nil, err
 	}
-	defer release()
+	defer grant.Release(true)
 	ctx, cancel := orderContext(q)
 	defer cancel()
 	p := desk.Placement{Ticket: q.PathValue("ticket"), Caller: q.caller.Name, Action: action}
--- a/internal/serve/instance/order_test.go
+++ b/internal/serve/instance/order_test.go
@@ -1,31 +1,31 @@
 package instance_test
 
 import (
-	"slices"
+	"syscall"
 	"testing"
 
 	"crocuswing/internal/demo/backend"
-	"crocuswing/internal/fleet/member"
-	"crocuswing/internal/fleet/peers"
-	"crocuswing/internal/order/desk"
 	"crocuswing/internal/order/ticket"
-	"crocuswing/internal/peer/client"
 
 	"github.com/stretchr/testify/require"
 )
 
-// TestMintFor takes a ticket over the framing, as an instance does that stops.
-func TestMintFor(t *testing.T) {
-	f, all := start(t, 1)
-	list, _, err := f.Platform.Listing(t.Context(), 0, 0)
-	require.NoError(t, err)
-	at := slices.IndexFunc(list.Members, func(m member.Member) bool { return m.Name == all[0].name })
-	c := client.New(list.Members[at].Address, func() uint64 { return 0 }, func(uint64) {})
-	defer c.Close()
-	var g desk.Grant
-	require.NoError(t, c.Call(t.Context(), peers.MethodMint, desk.Claim{Caller: "tablet", Service: backend.OrderService}, &g))
-	got, err := ticket.Verify(g.Ticket, []byte(backend.TicketKey), "tablet")
-	require.NoError(t, err)
-	require.Equal(t, all[0].name, got.Owner)
-	require.Positive(t, g.Life)
+// TestMintWhileStopping takes tickets from an instance before and during its planned stop.
+func TestMintWhileStopping(t *testing.T) {
+	f, all := start(t, 2, longDelayMS)
+	require.Equal(t, all[0].name, f.ownerOfTicket(all[0].address))
+	all[0].stop()
+	f.await(func() bool { return !all[0].Status().Ready })
+	require.Equal(t, all[1].name, f.ownerOfTicket(all[0].address))
+	all[0].hurry <- syscall.SIGTERM
+	require.NoError(t, <-all[0].ended)
+}
+
+// ownerOfTicket takes a ticket from the instance at address and names its owner.
+func (f *fleet) ownerOfTicket(address string) string {
+	got, err := f.caller.Ticket(f.t.Context(), address, backend.OrderService)
+	require.NoError(f.t, err)
+	t, err := ticket.Verify(got.Ticket, []byte(backend.TicketKey), "demo")
+	require.NoError(f.t, err)
+	return t.Owner
 }
--- a/internal/serve/instance/stop.go
+++ b/internal/serve/instance/stop.go
@@ -17,8 +17,8 @@
 // stop serves on through the balancer's lag, then finishes what is in flight: first the requests of
 // callers, then the work of other instances and the orders.
 func (i *Instance) stop(callers *http.Server, peerCalls *server.Server) {
-	i.stopping.Store(true)
 	i.desk.Stop()
+	i.stopping.Store(true)
 	i.follower.Leave()
 	i.flight.Leave()
 	i.log.Info("instance drains", zap.Int("delay-ms", i.settings.DrainDelayMS))
