test: faults run side by side, the model's check is cheap

Cause: the tests of orders took 66 s under -race on a busy machine, over the 60 s set. Change: the subtests run in parallel; the invariant after each step is one comparison.

--- a/internal/order/desk/desk_test.go
+++ b/internal/order/desk/desk_test.go
@@ -192,6 +192,7 @@
 	for _, seed := range []uint64{1, 2} {
 		for _, fl := range faults {
 			t.Run(fmt.Sprintf("%s/seed %d", fl.name, seed), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					v := drive(f, seed, fl)
 					t.Logf("done %d, not-run %d, unknown %d (not forwarded %d)", v.done, v.notRun, v.unknown, v.notForwarded)
--- a/internal/order/table/table_test.go
+++ b/internal/order/table/table_test.go
@@ -202,15 +202,16 @@
 			running++
 		}
 	}
-	s := m.table.Stats()
-	require.Equal(rt, running, s.Running)
+	idle := false
 	select {
 	case <-m.table.Idle():
-		require.Zero(rt, running)
+		idle = true
 	default:
-		require.NotZero(rt, running)
 	}
-	require.LessOrEqual(rt, s.Tickets, maxTickets)
+	s := m.table.Stats()
+	if s.Running != running || idle != (running == 0) || s.Tickets > maxTickets {
+		rt.Fatalf("%d orders run, the table states %+v, idle %t", running, s, idle)
+	}
 }
 
 // TestTicketsAgainstModel compares the table with a model that forgets nothing.
