--- a/internal/order/desk/desk_test.go
+++ b/internal/order/desk/desk_test.go
@@ -192,6 +192,7 @@
 	for _, seed := range []uint64{1, 2} {
 		for _, fl := range faults {
 			t.Run(fmt.Sprintf("%s/seed %d", fl.name, seed), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					v := drive(f, seed, fl)
 					t.Logf("done %d, not-run %d, unknown %d (not forwarded %d)", v.done, v.notRun, v.unknown, v.notForwarded)
@@ -406,6 +407,7 @@
 				ctx, cancel := context.WithTimeout(t.Context(), c.wait)
 				defer cancel()
 				require.Equal(t, c.left, owner.Wait(ctx))
+				require.Equal(t, c.left > 0, ctx.Err() != nil)
 				if c.left == 0 {
 					require.Equal(t, outcome.Done, (<-answered).State)
 				}
