fix: find a silent connection also where nothing overtakes it

Change: an attempt on a used connection without a byte for three times the bound counts as silent, once until the upstream answers again; idle connections that served nothing since are closed with it. Ruled out: sending the request a second time on a fresh connection, which would load a slow upstream twice.

--- a/internal/upstream/link/exchange.go
+++ b/internal/upstream/link/exchange.go
@@ -39,11 +39,12 @@
 
 func (l *Link) begin(c *connection.Connection, m message) *exchange {
 	x := &exchange{Link: l, message: m, conn: c, reused: c.Begin()}
-	abandon := func() { l.pool.Abandon(c) }
+	start := time.Now()
+	abandon := func() { l.pool.Abandon(c, start) }
 	if m.patience == untilDeadline {
 		abandon = nil
 	}
-	x.attempt = l.monitor.Begin(c.Received, abandon)
+	x.attempt = l.monitor.Begin(x.reused, c.Received, abandon)
 	return x
 }
 
--- a/internal/upstream/link/link_test.go
+++ b/internal/upstream/link/link_test.go
@@ -183,6 +183,32 @@
 	}
 }
 
+// TestAllSilent silences every connection while one request runs at a time, so that nothing overtakes it.
+func TestAllSilent(t *testing.T) {
+	const deadline = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 6, 6, newUpstream(25))
+		defer r.stop()
+		wide := r.load(4, deadline) // opens several connections
+		time.Sleep(200 * time.Millisecond)
+		wide()
+		require.Greater(t, r.Stats().Idle, 2)
+		r.slowest.Store(0)
+		stop := r.load(1, deadline)
+		time.Sleep(100 * time.Millisecond)
+		for _, conn := range r.listener.Conns() {
+			conn.Silence()
+		}
+		time.Sleep(2 * deadline)
+		kinds := stop()
+		require.Equal(t, 1, kinds[failure.KindSilent])
+		require.Zero(t, kinds[failure.KindTimeout])
+		require.Greater(t, kinds[""], 100)
+		require.Less(t, r.slowest.Load(), int64(deadline/4))
+		require.LessOrEqual(t, r.listener.Peak(), 6)
+	})
+}
+
 func TestFailures(t *testing.T) {
 	type attempt = func(*rig) error
 	part := func(r *rig) error { return r.ask(time.Second) }
@@ -323,7 +349,7 @@
 		c, err := r.pool.Acquire(context.Background())
 		require.NoError(t, err)
 		r.listener.Conns()[0].Silence()
-		r.pool.Abandon(c)
+		r.pool.Abandon(c, time.Now())
 		kind, notRun := kindOf(t, r.ask(time.Second))
 		require.Equal(t, failure.KindConnections, kind)
 		require.True(t, notRun)
--- a/internal/upstream/pool/pool.go
+++ b/internal/upstream/pool/pool.go
@@ -136,9 +136,10 @@
 	p.fill()
 }
 
-// Abandon closes a connection in use that has gone silent. It counts until the upstream confirms
-// the close, at most connection.LingerTime; the one held back may be opened meanwhile.
-func (p *Pool) Abandon(c *connection.Connection) {
+// Abandon closes a connection in use that has gone silent, and the idle ones that served nothing
+// since the given time: they may be silent too. Each counts until the upstream confirms the close, at
+// most connection.LingerTime; the one held back may be opened meanwhile.
+func (p *Pool) Abandon(c *connection.Connection, since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s, ok := p.conns[c]; ok && !s.abandoned {
@@ -146,6 +147,9 @@
 		p.stats.Abandoned++
 	}
 	c.Close()
+	for len(p.idle) > 0 && p.conns[p.idle[0]].idleSince.Before(since) {
+		p.closeOldest()
+	}
 	p.fill()
 }
 
--- a/internal/upstream/pool/pool_test.go
+++ b/internal/upstream/pool/pool_test.go
@@ -117,7 +117,7 @@
 			conns[len(conns)-1].Silence()
 		}
 	}
-	m.pool.Abandon(c)
+	m.pool.Abandon(c, time.Now().Add(-time.Second))
 	m.pool.Release(c, false)
 }
 
--- a/internal/upstream/silence/silence.go
+++ b/internal/upstream/silence/silence.go
@@ -2,6 +2,10 @@
 //
 // The bound on an attempt's age follows the retransmission timer of RFC 6298: a smoothed mean of
 // recent service times and their smoothed deviation.
+//
+// Where nothing else runs there is nothing to compare with. An attempt on a connection that was used
+// before, without a byte for several times the bound, then counts as silent as well, but only once until
+// the upstream answers again: if it is the upstream that is slow, a second one would gain nothing.
 package silence
 
 import (
@@ -13,6 +17,7 @@
 	minPassed       = 3 // later attempts that must have been answered meanwhile
 	minAge          = 20 * time.Millisecond
 	ageFactor       = 3     // multiple of the mean plus four deviations
+	loneFactor      = 3     // multiple of the bound from which an attempt is silent without comparison
 	meanWeight      = 0.125 // RFC 6298, alpha
 	deviationWeight = 0.25  // RFC 6298, beta
 	deviations      = 4     // RFC 6298, K
@@ -25,6 +30,7 @@
 	attempts  map[*Attempt]struct{}
 	mean      time.Duration
 	deviation time.Duration
+	isAlive   bool // the upstream answered since the last attempt that was silent without comparison
 }
 
 // Attempt is one request in flight on its own connection.
@@ -36,6 +42,7 @@
 	abandon  func()
 	passed   int // attempts begun later and answered already
 	timer    *time.Timer
+	lone     *time.Timer // nil on a fresh connection
 	silent   bool
 }
 
@@ -43,13 +50,17 @@
 func New() *Monitor { return &Monitor{attempts: make(map[*Attempt]struct{})} }
 
 // Begin adds an attempt. received counts the bytes that arrived for it; abandon is called at most
-// once, if its connection is found silent. With a nil abandon it is never found silent.
-func (m *Monitor) Begin(received func() int64, abandon func()) *Attempt {
+// once, if its connection is found silent. With a nil abandon it is never found silent. reused tells
+// that the connection served another attempt before.
+func (m *Monitor) Begin(reused bool, received func() int64, abandon func()) *Attempt {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.number++
 	a := &Attempt{monitor: m, number: m.number, started: time.Now(), received: received, abandon: abandon}
 	m.attempts[a] = struct{}{}
+	if reused && abandon != nil && m.isAlive {
+		a.lone = time.AfterFunc(loneFactor*m.bound(), a.checkLone)
+	}
 	return a
 }
 
@@ -60,9 +71,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.attempts, a)
-	if a.timer != nil {
-		a.timer.Stop()
-	}
+	a.stopTimers()
 	if answered {
 		m.observe(time.Since(a.started))
 		m.overtake(a.number)
@@ -70,6 +79,15 @@
 	return a.silent
 }
 
+func (a *Attempt) stopTimers() {
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+	if a.lone != nil {
+		a.lone.Stop()
+	}
+}
+
 // Bound is the age above which an overtaken attempt without a byte counts as silent.
 func (m *Monitor) Bound() time.Duration {
 	m.mu.Lock()
@@ -82,6 +100,7 @@
 }
 
 func (m *Monitor) observe(took time.Duration) {
+	m.isAlive = true
 	if m.mean == 0 {
 		m.mean, m.deviation = took, took/2
 		return
@@ -104,6 +123,25 @@
 	}
 }
 
+// checkLone abandons the attempt if its age is far above the bound of the present and nothing arrived.
+func (a *Attempt) checkLone() {
+	m := a.monitor
+	m.mu.Lock()
+	_, running := m.attempts[a]
+	left := loneFactor*m.bound() - time.Since(a.started)
+	if running && left > 0 {
+		a.lone.Reset(left)
+	}
+	silent := running && left <= 0 && !a.silent && m.isAlive && a.received() == 0
+	if silent {
+		a.silent, m.isAlive = true, false
+	}
+	m.mu.Unlock()
+	if silent {
+		a.abandon()
+	}
+}
+
 // check abandons the attempt if its age is above the bound of the present and nothing arrived.
 func (a *Attempt) check() {
 	m := a.monitor
@@ -113,8 +151,8 @@
 	if running && left > 0 {
 		a.timer.Reset(left)
 	}
-	a.silent = running && left <= 0 && a.received() == 0
-	silent := a.silent
+	silent := running && left <= 0 && !a.silent && a.received() == 0
+	a.silent = a.silent || silent
 	m.mu.Unlock()
 	if silent {
 		a.abandon()
--- a/internal/upstream/silence/silence_test.go
+++ b/internal/upstream/silence/silence_test.go
@@ -14,25 +14,28 @@
 		name     string
 		later    int // attempts begun later and answered, one each service time
 		received int64
+		reused   bool
 		want     bool
 	}{
 		{name: "others move on", later: 40, want: true},
 		{name: "bytes arrive slowly", later: 40, received: 1},
 		{name: "few others answered", later: 2},
 		{name: "nothing else runs", later: 0},
+		{name: "nothing else runs on a used connection", later: 0, reused: true, want: true},
+		{name: "few others answered and bytes arrive", later: 2, received: 1, reused: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				m := New()
 				for range 100 { // learn the usual service time
-					a := m.Begin(none, nil)
+					a := m.Begin(true, none, nil)
 					time.Sleep(service)
 					a.End(true)
 				}
 				abandoned := false
-				suspect := m.Begin(func() int64 { return c.received }, func() { abandoned = true })
+				suspect := m.Begin(c.reused, func() int64 { return c.received }, func() { abandoned = true })
 				for range c.later {
-					a := m.Begin(none, nil)
+					a := m.Begin(true, none, nil)
 					time.Sleep(service)
 					a.End(true)
 				}
@@ -45,13 +48,36 @@
 	}
 }
 
+// TestLoneSilenceOnce abandons no second attempt before the upstream has answered again.
+func TestLoneSilenceOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := New()
+		answer := func() {
+			a := m.Begin(true, none, nil)
+			time.Sleep(time.Millisecond)
+			a.End(true)
+		}
+		isSilent := func() bool {
+			a := m.Begin(true, none, func() {})
+			time.Sleep(time.Second)
+			return a.End(false)
+		}
+		require.False(t, isSilent(), "nothing was ever answered")
+		answer()
+		require.True(t, isSilent())
+		require.False(t, isSilent())
+		answer()
+		require.True(t, isSilent())
+	})
+}
+
 // TestBoundFollowsServiceTimes keeps a slow service's attempts from being abandoned.
 func TestBoundFollowsServiceTimes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := New()
 		require.Equal(t, minAge, m.Bound())
 		for range 200 {
-			a := m.Begin(none, nil)
+			a := m.Begin(true, none, nil)
 			time.Sleep(100 * time.Millisecond)
 			a.End(true)
 		}
