--- a/internal/upstream/warmup/warmup.go
+++ b/internal/upstream/warmup/warmup.go
@@ -14,7 +14,7 @@
 	reportedFactor = 2 // a report of "cold" asks for this many times the successes
 	jumpFactor     = 3 // recent service time, as a multiple of the usual, that starts a warm-up
 	clipFactor     = 6 // a single service time counts at most as this multiple of the usual
-	jumpFloor      = 2 * time.Millisecond
+	jumpFloor      = 10 * time.Millisecond
 	jumpSamples    = 8 // answers needed before the usual service time is trusted
 	recentWeight   = 0.2
 	usualWeight    = 0.02
