--- a/internal/serve/instance/instance_test.go
+++ b/internal/serve/instance/instance_test.go
@@ -30,6 +30,7 @@
 const (
 	waitLimit    = 30 * time.Second
 	drainDelayMS = 1500
+	shortDelayMS = 300
 	serviceMS    = 2      // of the backend's upstreams
 	longDelayMS  = 60_000 // more than a test waits
 )
@@ -153,8 +154,8 @@
 
 // TestPlannedStopFinishes stops an instance while requests and orders are in flight in it.
 func TestPlannedStopFinishes(t *testing.T) {
-	f, all := start(t, 2, drainDelayMS)
-	f.slowDown(all, 2*drainDelayMS) // requests outlast the drain
+	f, all := start(t, 2, shortDelayMS)
+	f.slowDown(all, 2*shortDelayMS) // requests outlast the drain
 	var cut atomic.Int64
 	var work sync.WaitGroup
 	states := make([]string, 4)
@@ -202,6 +203,23 @@
 	require.Len(t, lost[0].ContextMap()["orders-unknown"], 1)
 }
 
+// TestLastOneServesOn stops the only instance: through the balancer's lag it answers as before.
+func TestLastOneServesOn(t *testing.T) {
+	f, all := start(t, 1, longDelayMS)
+	f.slowDown(all, serviceMS)
+	require.NoError(t, f.search(all[0].address, "before"))
+	all[0].stop()
+	f.await(func() bool { return !all[0].Status().Ready })
+	f.await(func() bool { return all[0].logs.FilterMessage("peers judged by contact").Len() == 1 })
+	for n := range 20 {
+		a, err := f.caller.Search(t.Context(), all[0].address, fmt.Sprint("lag-", n), call.Search{Service: backend.SearchService, Query: "q"})
+		require.NoError(t, err)
+		require.Equal(t, a.Coverage.Total, a.Coverage.Answered)
+	}
+	all[0].hurry <- syscall.SIGTERM
+	require.NoError(t, <-all[0].ended)
+}
+
 // TestRollingReplacement replaces all four instances in turn under load.
 func TestRollingReplacement(t *testing.T) {
 	f, all := start(t, 4, drainDelayMS)
