--- a/internal/upstream/home/home_bench_test.go
+++ b/internal/upstream/home/home_bench_test.go
@@ -41,6 +41,7 @@
 			places := make([]home.Place, upstreams)
 			for u := range places {
 				places[u] = place(u)
+				r.Group(places[u])
 			}
 			computed := 0
 			b.ReportAllocs()
