--- a/internal/command/status/status.go
+++ b/internal/command/status/status.go
@@ -34,7 +34,9 @@
 func (*Command) Usage() string {
 	return `crocuswing status -addr IP:PORT
 
-Prints the state of the instance with that operator address as JSON.
+Prints the state of the instance with that operator address as JSON: why it is not ready, revision and
+preset in force, age of its view, failure domains that are out, whether it reads the platform for others,
+its peers, cold upstreams, budgets and work in flight.
 
 Example:
   crocuswing status -addr 127.0.0.1:7003
--- a/internal/operator/status/status.go
+++ b/internal/operator/status/status.go
@@ -28,6 +28,9 @@
 	Tickets         int      `json:"tickets"`
 	FirstAttempts   int64    `json:"first-attempts"`
 	ExtraAttempts   int64    `json:"extra-attempts"`
+	// HedgeTokens and RetryTokens are the extra attempts that the budgets permit at present.
+	HedgeTokens float64 `json:"hedge-tokens"`
+	RetryTokens float64 `json:"retry-tokens"`
 	// InFlight is the number of requests of callers in flight.
 	InFlight int `json:"requests-in-flight"`
 	// OrdersInFlight is the number of orders that are being sent to upstreams.
--- a/internal/serve/instance/status.go
+++ b/internal/serve/instance/status.go
@@ -13,6 +13,7 @@
 	v := i.follower.Current()
 	now := time.Now()
 	first, extra := i.runner.Attempts()
+	hedges, retries := i.runner.Tokens()
 	s := status.Status{
 		Instance:        i.settings.Instance,
 		Incarnation:     fmt.Sprintf("%x", i.incarnation),
@@ -30,6 +31,8 @@
 		Tickets:         i.desk.Stats().Tickets,
 		FirstAttempts:   first,
 		ExtraAttempts:   extra,
+		HedgeTokens:     hedges,
+		RetryTokens:     retries,
 		InFlight:        i.flight.Requests(),
 		OrdersInFlight:  len(i.flight.Orders()),
 		Cold:            make([]string, 0),
