--- a/internal/measure/line/line.go
+++ b/internal/measure/line/line.go
@@ -26,7 +26,7 @@
 }
 
 var (
-	sizePart       = regexp.MustCompile(`(?:^|/)n=(\d+)(?:/|$)`)
+	sizePart       = regexp.MustCompile(`^(?:[a-z-]+=)?(\d+)$`)
 	processorsPart = regexp.MustCompile(`-\d+$`)
 )
 
--- a/internal/measure/series/series_test.go
+++ b/internal/measure/series/series_test.go
@@ -30,6 +30,9 @@
 	l, _ := line.Parse("BenchmarkMemory/instances=4/n=1000-8 1 7 bytes", "p")
 	require.Equal(t, "Memory/instances=4", l.Name)
 	require.InDelta(t, 1000, l.Size, 0)
+	l, _ = line.Parse("BenchmarkAdmit/callers=64-10 37098 960.3 ns/op", "p")
+	require.Equal(t, "Admit", l.Name)
+	require.InDelta(t, 64, l.Size, 0)
 	for _, text := range []string{"ok  \tp\t0.1s", "BenchmarkX", "BenchmarkX-8 10 x ns/op"} {
 		_, ok := line.Parse(text, "p")
 		require.False(t, ok, text)
