--- a/internal/config/trie/trie.go
+++ b/internal/config/trie/trie.go
@@ -104,7 +104,7 @@
 		return max(at, 0), at >= 0
 	}
 	bit := bitOf(hash, shift)
-	return bits.OnesCount32(n.bitmap & (bit - 1)), n.bitmap&bit != 0
+	return onesBelow(n.bitmap, bit), n.bitmap&bit != 0
 }
 
 func (n *node[V]) with(s slot[V], hash uint64, shift int) *node[V] {
@@ -170,6 +170,9 @@
 	return true
 }
 
+// onesBelow is the place of a bit's slot among the slots of its node.
+func onesBelow(bitmap, bit uint32) int { return bits.OnesCount32(bitmap & (bit - 1)) }
+
 func bitOf(hash uint64, shift int) uint32 {
 	return 1 << (hash >> shift & levelMask)
 }
--- a/internal/config/trie/trie_test.go
+++ b/internal/config/trie/trie_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -37,6 +38,42 @@
 	}
 }
 
+// TestChanged compares versions that are some steps apart with a comparison of whole maps.
+func TestChanged(t *testing.T) {
+	r := rand.New(rand.NewPCG(3, 4))
+	equal := func(a, b int) bool { return a == b }
+	var tr Trie[int]
+	for n := range 5_000 {
+		tr = tr.With(fmt.Sprint(n), n)
+	}
+	for round := range 200 {
+		former := tr
+		for range r.IntN(6) {
+			name := fmt.Sprint(r.IntN(6_000))
+			if r.IntN(2) == 0 {
+				tr = tr.Without(name)
+			} else {
+				tr = tr.With(name, r.IntN(9_000))
+			}
+		}
+		got := slices.Collect(tr.Changed(former, equal))
+		require.LessOrEqual(t, len(got), 30, "round %d: the cost follows the change", round)
+		for name := range maps.Collect(former.All()) {
+			before, _ := former.Get(name)
+			if after, ok := tr.Get(name); !ok || after != before {
+				require.Contains(t, got, name)
+			}
+		}
+		for name := range tr.All() {
+			if _, ok := former.Get(name); !ok {
+				require.Contains(t, got, name)
+			}
+		}
+	}
+	require.Empty(t, slices.Collect(tr.Changed(tr, equal)))
+	require.Len(t, slices.Collect(tr.Changed(Trie[int]{}, equal)), tr.Len())
+}
+
 // TestCollision enters two names at the depth where all bits of their hashes are used up.
 func TestCollision(t *testing.T) {
 	n := &node[int]{}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"slices"
 	"strings"
 	"unique"
@@ -103,6 +104,12 @@
 // HasInstancesOf tells whether both list the same version of the instances.
 func (r Roster) HasInstancesOf(other Roster) bool { return r.instances.Is(other.instances) }
 
+// ChangedUpstreams gives the names of the upstreams that differ from those of a former list, and perhaps
+// a few more. Its cost follows the change.
+func (r Roster) ChangedUpstreams(former Roster) iter.Seq[string] {
+	return r.others.Changed(former.others, func(a, b member.Member) bool { return a == b })
+}
+
 // Names gives the names of all members, sorted.
 func (r Roster) Names() []string {
 	names := make([]string, 0, r.Len())
--- a/internal/upstream/directory/directory.go
+++ b/internal/upstream/directory/directory.go
@@ -10,6 +10,7 @@
 
 	"crocuswing/internal/config/service"
 	"crocuswing/internal/fleet/member"
+	"crocuswing/internal/fleet/roster"
 	"crocuswing/internal/fleet/view"
 	"crocuswing/internal/upstream/contract"
 	"crocuswing/internal/upstream/home"
@@ -44,10 +45,10 @@
 	self string
 	open Opener
 
-	updating sync.Mutex // held by Update, the only writer of what follows
-	digest   string     // of the configuration that contracts were read from
-	version  uint64     // of the list that members were read from
-	reading  int        // counts the readings of contracts
+	updating sync.Mutex    // held by Update, the only writer of what follows
+	digest   string        // of the configuration that contracts were read from
+	roster   roster.Roster // of the last update
+	reading  int           // counts the readings of contracts
 	named    []*entry
 
 	mu      sync.RWMutex // held only for single steps, so that an update delays no attempt
@@ -179,14 +180,20 @@
 	d.updating.Lock()
 	defer d.updating.Unlock()
 	isNewConfig := d.named == nil || d.digest != v.Config().Digest()
-	isNewList := d.version != v.Roster().Version()
+	former := d.roster
+	isNewList := former.Version() != v.Roster().Version()
 	if isNewConfig {
 		d.name(v.Config().Services())
 		d.digest = v.Config().Digest()
 	}
-	next := d.Ranking().Next(candidates(v))
+	old := d.Ranking()
+	next := old.Next(candidates(v))
 	d.change(func() { d.ranking = next })
-	d.version = v.Roster().Version()
+	d.roster = v.Roster()
+	if isNewList && !isNewConfig && next == old {
+		d.followChanged(v, former)
+		return
+	}
 	for _, e := range d.named {
 		m, ok := e.standing.member, !isNewList && e.Target != nil
 		if !ok {
@@ -198,6 +205,18 @@
 	}
 }
 
+// followChanged brings those upstreams up to date that differ from a former list, while the
+// configuration and the instances are the same.
+func (d *Directory) followChanged(v view.View, former roster.Roster) {
+	for name := range v.Roster().ChangedUpstreams(former) {
+		e, isNamed := d.entries[name]
+		m, isListed := v.Roster().Member(name)
+		if isNamed && isListed {
+			d.follow(e, m, v.Admits(m))
+		}
+	}
+}
+
 // name replaces the set of upstreams and their contracts.
 func (d *Directory) name(services []service.Service) {
 	d.reading++
--- a/internal/upstream/dispatch/attempt.go
+++ b/internal/upstream/dispatch/attempt.go
@@ -188,17 +188,7 @@
 }
 
 // Wait blocks until no attempt runs any more whose request has ended, or ctx ends.
-func (d *Dispatcher) Wait(ctx context.Context) {
-	ended := make(chan struct{})
-	go func() {
-		d.detached.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-	case <-ctx.Done():
-	}
-}
+func (d *Dispatcher) Wait(ctx context.Context) { d.detached.Wait(ctx) }
 
 // notAcquired makes the failure of an attempt that got no slot; nothing was sent.
 func (d *Dispatcher) notAcquired(upstream string, err error) error {
--- a/internal/upstream/dispatch/dispatch.go
+++ b/internal/upstream/dispatch/dispatch.go
@@ -3,10 +3,10 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"crocuswing/internal/fleet/view"
+	"crocuswing/internal/task/group"
 	"crocuswing/internal/upstream/directory"
 	"crocuswing/internal/upstream/failure"
 	"crocuswing/internal/upstream/target"
@@ -43,7 +43,7 @@
 	refused   func(reason string)
 	hops      hops
 	notices   chan relay.Notice
-	detached  sync.WaitGroup // attempts that run on after their request has ended
+	detached  group.Group // attempts that run on after their request has ended
 }
 
 // Option changes how a dispatcher is made.
