refactor: one wait for a time or the end of a context

Cause: the desk, the follower and the demonstration's faults each had the same timer and select under another name. Change: package task/pause serves all three; no test changed but for the name. Left alone: the waits of the stand-in upstream and of target, which differ; the codecs of wire/order and wire/part, alike in shape with other fields and keys.

--- a/internal/demo/fault/fault.go
+++ b/internal/demo/fault/fault.go
@@ -10,6 +10,7 @@
 	"crocuswing/internal/demo/backend"
 	"crocuswing/internal/demo/site"
 	"crocuswing/internal/fleet/member"
+	"crocuswing/internal/task/pause"
 
 	"go.uber.org/zap"
 )
@@ -47,7 +48,7 @@
 func (s *Schedule) Run(ctx context.Context) error {
 	start := time.Now()
 	for _, st := range s.steps() {
-		if !sleep(ctx, time.Until(start.Add(st.at))) {
+		if !pause.For(ctx, time.Until(start.Add(st.at))) {
 			return nil
 		}
 		s.log.Info("fault", zap.String("what", st.name))
@@ -121,14 +122,3 @@
 	u.SetLeaving(leaving, leaveGrace)
 	s.site.SetState(u.Name(), state)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -16,6 +16,7 @@
 	"crocuswing/internal/fleet/store"
 	"crocuswing/internal/fleet/view"
 	"crocuswing/internal/fleet/watcher"
+	"crocuswing/internal/task/pause"
 	"crocuswing/internal/wire/gossip"
 	"crocuswing/internal/wire/listing"
 	"crocuswing/internal/wire/manifest"
@@ -208,7 +209,7 @@
 			f.started.Store(true)
 			return
 		}
-		sleep(ctx, f.jitter(wait))
+		pause.For(ctx, f.jitter(wait))
 	}
 }
 
@@ -264,12 +265,3 @@
 func (f *Follower) jitter(period time.Duration) time.Duration {
 	return period*9/10 + time.Duration(f.pick(int(period/5)))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/fleet/follower/peers.go
+++ b/internal/fleet/follower/peers.go
@@ -8,6 +8,7 @@
 
 	"crocuswing/internal/config/acceptance"
 	"crocuswing/internal/fleet/evidence"
+	"crocuswing/internal/task/pause"
 	"crocuswing/internal/wire/gossip"
 	"crocuswing/internal/wire/listing"
 	"crocuswing/internal/wire/manifest"
@@ -18,7 +19,7 @@
 // syncs asks a peer each period, and now and then a suspected one whether it answers again.
 func (f *Follower) syncs(ctx context.Context) {
 	for n := 1; ctx.Err() == nil; n++ {
-		sleep(ctx, f.jitter(syncPeriod))
+		pause.For(ctx, f.jitter(syncPeriod))
 		f.contacts.Keep(f.isListed)
 		if suspected := f.contacts.Suspected(); n%probeEvery == 0 && len(suspected) > 0 {
 			_ = f.sync(ctx, suspected[f.pick(len(suspected))])
--- a/internal/fleet/follower/platform.go
+++ b/internal/fleet/follower/platform.go
@@ -10,6 +10,7 @@
 	"crocuswing/internal/fleet/evidence"
 	"crocuswing/internal/fleet/roster"
 	"crocuswing/internal/fleet/store"
+	"crocuswing/internal/task/pause"
 	"crocuswing/internal/wire/manifest"
 
 	"go.uber.org/zap"
@@ -39,17 +40,17 @@
 	last := time.Now()
 	for ctx.Err() == nil {
 		if !f.isOnDuty() {
-			sleep(ctx, dutyPoll)
+			pause.For(ctx, dutyPoll)
 			continue
 		}
 		changed, err := follow(ctx, watchWait)
 		switch {
 		case err != nil:
-			sleep(ctx, f.jitter(retryWait))
+			pause.For(ctx, f.jitter(retryWait))
 		case changed:
 			spent = max(spent-time.Since(last), 0) + coalesceWait
 			last = time.Now()
-			sleep(ctx, spent-burstChanges*coalesceWait)
+			pause.For(ctx, spent-burstChanges*coalesceWait)
 		}
 	}
 }
@@ -184,7 +185,7 @@
 	next := f.nextValue
 	f.nextValue = laterOf(next, time.Now()).Add(time.Duration(watchers) * time.Second / valueReads)
 	f.mu.Unlock()
-	sleep(ctx, time.Until(next))
+	pause.For(ctx, time.Until(next))
 	return ctx.Err()
 }
 
--- a/internal/fleet/follower/rig_test.go
+++ b/internal/fleet/follower/rig_test.go
@@ -13,6 +13,7 @@
 	"crocuswing/internal/fleet/member"
 	"crocuswing/internal/fleet/view"
 	"crocuswing/internal/standin/platform"
+	"crocuswing/internal/task/pause"
 	"crocuswing/internal/wire/gossip"
 	"crocuswing/internal/wire/listing"
 	"crocuswing/internal/wire/manifest"
@@ -274,14 +275,14 @@
 // copy gives the copy that the instance reaches at present.
 func (d *door) copy(ctx context.Context) (*platform.Platform, int, error) {
 	<-d.node.gate()
-	sleep(ctx, linkLatency)
+	pause.For(ctx, linkLatency)
 	mode, reads := d.node.rig.getMode(), d.node.reads.Add(1)
 	if d.node.rig.sideOf(d.node.self.Name) != 0 {
 		mode = modeDown
 	}
 	switch {
 	case mode == modeDown:
-		sleep(ctx, 100*time.Millisecond)
+		pause.For(ctx, 100*time.Millisecond)
 		return nil, mode, errLost
 	case mode == modeStale, mode == modeFlapping && reads/2%2 == 0:
 		return d.node.rig.old, mode, nil
@@ -354,7 +355,7 @@
 	var none R
 	<-from.gate()
 	to := from.rig.find(peer)
-	sleep(ctx, linkLatency)
+	pause.For(ctx, linkLatency)
 	cut := func() bool { return to == nil || from.rig.sideOf(from.self.Name) != from.rig.sideOf(peer) }
 	if cut() {
 		<-ctx.Done()
@@ -372,7 +373,7 @@
 	size := int64(callOverhead + sizeOf(q) + sizeOf(r))
 	from.bytes.Add(size)
 	to.bytes.Add(size)
-	sleep(ctx, linkLatency)
+	pause.For(ctx, linkLatency)
 	if cut() {
 		<-ctx.Done()
 		return none, errLost
--- a/internal/order/desk/desk.go
+++ b/internal/order/desk/desk.go
@@ -19,6 +19,7 @@
 	"crocuswing/internal/order/outcome"
 	"crocuswing/internal/order/table"
 	"crocuswing/internal/order/ticket"
+	"crocuswing/internal/task/pause"
 	"crocuswing/internal/wire/order"
 )
 
@@ -322,7 +323,7 @@
 		}
 		var u *UnsentError
 		unsent = unsent && errors.As(err, &u)
-		if n+1 == maxForwards || !pause(ctx, forwardPause<<n) {
+		if n+1 == maxForwards || !pause.For(ctx, forwardPause<<n) {
 			break
 		}
 	}
--- a/internal/order/desk/run.go
+++ b/internal/order/desk/run.go
@@ -10,6 +10,7 @@
 	"crocuswing/internal/index/shard"
 	"crocuswing/internal/order/outcome"
 	"crocuswing/internal/order/ticket"
+	"crocuswing/internal/task/pause"
 	"crocuswing/internal/upstream/failure"
 	"crocuswing/internal/wire/order"
 )
@@ -103,7 +104,7 @@
 	upstream, ok := x.sender.Choose(x.shard, x.tried)
 	if !ok {
 		x.tried = nil
-		pause(x.begin, attemptPause)
+		pause.For(x.begin, attemptPause)
 		return "", nil
 	}
 	return upstream, nil
@@ -117,15 +118,3 @@
 	var f *failure.Failure
 	return errors.As(err, &f) && f.NotRun
 }
-
-// pause waits for d and reports whether ctx still goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
