--- a/internal/command/demo/demo.go
+++ b/internal/command/demo/demo.go
@@ -8,11 +8,15 @@
 	"io"
 
 	"crocuswing/internal/demo/drive"
+	"crocuswing/internal/demo/fault"
+	"crocuswing/internal/demo/naive"
 	"crocuswing/internal/demo/report"
 	"crocuswing/internal/demo/site"
+	"crocuswing/internal/demo/tier"
 	"crocuswing/internal/operator/log"
 
 	"github.com/google/subcommands"
+	"golang.org/x/sync/errgroup"
 )
 
 // Command runs stand-ins and instances on loopback and judges the outcome.
@@ -21,6 +25,7 @@
 	queries, orders int
 	seed            uint64
 	json            bool
+	faults, naive   bool
 	logLevel        string
 }
 
@@ -35,13 +40,17 @@
 
 // Usage is the help text.
 func (*Command) Usage() string {
-	return `crocuswing demo [-queries N] [-orders N] [-seed N] [-json] [-log-level LEVEL]
+	return `crocuswing demo [-queries N] [-orders N] [-faults] [-naive] [-seed N] [-json] [-log-level LEVEL]
 
 Runs a platform, upstreams and four instances on loopback, sends queries and orders as a
 caller would and judges the outcome by the stand-ins' own records. Exit 1 if a promise was broken.
+With -faults, upstreams straggle, vanish, turn cold, fall silent and leave, the snapshot and the shards
+change, a failure domain goes out and comes back and an instance is replaced while the requests run.
+With -naive, requests go to the first replica of each shard in place of the instances, for comparison.
 
-Example:
+Examples:
   crocuswing demo -queries 500 -json
+  crocuswing demo -faults -seed 7
 
 `
 }
@@ -50,6 +59,8 @@
 func (c *Command) SetFlags(f *flag.FlagSet) {
 	f.IntVar(&c.queries, "queries", 2000, "number of queries, `N`")
 	f.IntVar(&c.orders, "orders", 500, "number of orders, `N`")
+	f.BoolVar(&c.faults, "faults", false, "let faults happen during the run")
+	f.BoolVar(&c.naive, "naive", false, "use the baseline in place of the instances")
 	f.Uint64Var(&c.seed, "seed", 1, "seed of the service times, `N`")
 	f.BoolVar(&c.json, "json", false, "print one JSON object")
 	f.StringVar(&c.logLevel, "log-level", "error", "lowest `LEVEL` of the instances' logs")
@@ -77,10 +88,31 @@
 }
 
 func (c *Command) run(ctx context.Context) (report.Report, error) {
-	s, err := site.Start(log.New(c.stderr, c.logLevel), c.seed)
+	logger := log.New(c.stderr, c.logLevel)
+	s, err := site.Start(logger, c.seed)
 	if err != nil {
 		return report.Report{}, err
 	}
 	defer s.Close()
-	return drive.New(s).Run(ctx, c.queries, c.orders), nil
+	var options []drive.Option
+	var faults errgroup.Group
+	if c.faults {
+		options = append(options, drive.WithPace(fault.Duration))
+		faults.Go(func() error { return fault.New(s, logger, c.seed).Run(ctx) })
+	}
+	r := c.drive(ctx, s, options)
+	first, extra := s.Attempts()
+	r.ExtraLoad = float64(extra) / float64(max(first, 1))
+	return r, faults.Wait()
+}
+
+func (c *Command) drive(ctx context.Context, s *site.Site, options []drive.Option) report.Report {
+	if c.naive {
+		baseline := naive.New(s.Backend)
+		defer baseline.Close()
+		return drive.New(s.Backend, baseline, options...).Run(ctx, c.queries, c.orders)
+	}
+	instances := tier.New(s.Balancer)
+	defer instances.Close()
+	return drive.New(s.Backend, instances, options...).Run(ctx, c.queries, c.orders)
 }
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -13,6 +14,7 @@
 	"crocuswing/internal/command/demo"
 	"crocuswing/internal/command/load"
 	"crocuswing/internal/command/serve"
+	"crocuswing/internal/command/standin"
 	"crocuswing/internal/command/status"
 	"crocuswing/internal/command/version"
 
@@ -29,12 +31,18 @@
 	commander.Error = stderr
 	commander.Register(commander.HelpCommand(), "help")
 	commander.Register(commander.FlagsCommand(), "help")
-	commander.Register(serve.New(stderr), "")
-	commander.Register(check.New(stdout, stderr), "")
-	commander.Register(status.New(stdout, stderr), "")
-	commander.Register(demo.New(stdout, stderr), "")
-	commander.Register(load.New(stdout, stderr), "")
-	commander.Register(version.New(stdout), "")
+	commands := []subcommands.Command{
+		serve.New(stderr),
+		check.New(stdout, stderr),
+		status.New(stdout, stderr),
+		demo.New(stdout, stderr),
+		load.New(stdout, stderr),
+		standin.New(stdout, stderr),
+		version.New(stdout),
+	}
+	for _, c := range commands {
+		commander.Register(brief{Command: c, stderr: stderr}, "")
+	}
 	if err := top.Parse(args); err != nil {
 		return int(subcommands.ExitUsageError)
 	}
@@ -46,3 +54,18 @@
 	}
 	return int(commander.Execute(ctx))
 }
+
+// brief is a command that answers a wrong flag with one line in place of its whole help.
+type brief struct {
+	subcommands.Command
+	stderr io.Writer
+}
+
+// SetFlags defines the command's flags and redirects the messages of their parser.
+func (b brief) SetFlags(f *flag.FlagSet) {
+	if f.Output() == os.Stderr {
+		f.SetOutput(b.stderr)
+		f.Usage = func() { _, _ = fmt.Fprintf(b.stderr, "see 'crocuswing help %s'\n", b.Name()) }
+	}
+	b.Command.SetFlags(f)
+}
--- /dev/null
+++ b/internal/demo/backend/backend.go
@@ -0,0 +1,281 @@
+// Package backend builds what stands behind the instances on loopback: the platform and the upstreams.
+package backend
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"crocuswing/internal/config/caller"
+	"crocuswing/internal/config/class"
+	"crocuswing/internal/config/domain"
+	"crocuswing/internal/config/preset"
+	"crocuswing/internal/config/service"
+	"crocuswing/internal/fleet/member"
+	"crocuswing/internal/index/layout"
+	"crocuswing/internal/index/shard"
+	"crocuswing/internal/standin/platform"
+	"crocuswing/internal/standin/socket"
+	"crocuswing/internal/standin/upstream"
+	"crocuswing/internal/upstream/contract"
+)
+
+// Names and sizes of the demonstration, which follows Mien Dem's deployment.
+const (
+	SearchService = "buyer-search"
+	OrderService  = "order-entry"
+	CallerKey     = "demo-buyer-key"
+	TicketKey     = "demo-ticket-key-0123456789"
+
+	firstSnapshot = "s1"
+	searchShards  = 20
+	orderShards   = 30
+	replicas      = 2
+	serviceTime   = 2 * time.Millisecond
+
+	callerConcurrency = 64
+)
+
+// Domains are the failure domains of the demonstration.
+var Domains = []domain.Domain{
+	{Name: "south-a", Region: "south"},
+	{Name: "central-a", Region: "central"},
+	{Name: "north-a", Region: "north"},
+}
+
+var upstreamContract = contract.Contract{Slots: 2, Connections: 25, ColdSlots: 1, WarmAfter: 8}
+
+// Backend is a running platform with its upstreams. It is safe for concurrent use.
+type Backend struct {
+	Platform *platform.Platform
+	Address  string // of the platform
+
+	servers []*http.Server
+
+	mu       sync.Mutex
+	servings map[string]*Serving
+	search   service.Service
+	shards   map[string]int // of the search service, by snapshot
+}
+
+// Serving is one running upstream with its socket and its failure domain.
+type Serving struct {
+	*upstream.Upstream
+	Socket *socket.Socket
+	Domain string
+	member member.Member
+}
+
+// Start runs the platform and the upstreams; seed decides the service times.
+func Start(seed uint64) (*Backend, error) {
+	b := &Backend{
+		Platform: platform.New(),
+		servings: make(map[string]*Serving),
+		shards:   map[string]int{firstSnapshot: searchShards},
+	}
+	var err error
+	if b.Address, _, err = b.serve(&http.Server{Handler: b.Platform}); err != nil {
+		return nil, err
+	}
+	if b.search, err = b.startService(SearchService, service.KindSearch, searchShards, seed); err != nil {
+		return nil, err
+	}
+	orders, err := b.startService(OrderService, service.KindOrder, orderShards, seed)
+	if err != nil {
+		return nil, err
+	}
+	b.Platform.Publish(values(b.search, orders))
+	return b, nil
+}
+
+// Close stops all servers.
+func (b *Backend) Close() {
+	for _, server := range b.servers {
+		_ = server.Close()
+	}
+}
+
+// Shards is the number of shards of the search service in a snapshot, as published.
+func (b *Backend) Shards(snapshot string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.shards[snapshot]
+}
+
+// Upstream finds one upstream by name.
+func (b *Backend) Upstream(name string) *Serving {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.servings[name]
+}
+
+// Upstreams gives all upstreams.
+func (b *Backend) Upstreams() []*Serving {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := make([]*Serving, 0, len(b.servings))
+	for _, s := range b.servings {
+		all = append(all, s)
+	}
+	return all
+}
+
+// SearchLayout is the newest layout of the search service.
+func (b *Backend) SearchLayout() layout.Layout {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.search.Current()
+}
+
+// SetState changes the state of an upstream in the live list.
+func (b *Backend) SetState(name, state string) {
+	m := b.Upstream(name).member
+	m.State = state
+	b.Platform.SetMember(m)
+}
+
+// SetOut publishes whether a failure domain is out.
+func (b *Backend) SetOut(name string, out bool) {
+	at := slices.IndexFunc(Domains, func(d domain.Domain) bool { return d.Name == name })
+	d := Domains[at]
+	d.Out = out
+	b.Platform.Publish(map[string]string{"domain/" + name: encode(d)})
+}
+
+// PublishSnapshot makes a new snapshot of the search service with the given number of shards on the
+// same upstreams. Both snapshots are served until DropSnapshots.
+func (b *Backend) PublishSnapshot(snapshot string, shards int) {
+	b.mu.Lock()
+	names := b.searchUpstreams()
+	l := layout.Layout{Snapshot: snapshot}
+	for n := range shards {
+		l.Shards = append(l.Shards, shard.Shard{
+			Name:     fmt.Sprintf("%s-%d", SearchService, n),
+			Replicas: []string{names[n%len(names)], names[(n+len(names)/replicas)%len(names)]},
+		})
+	}
+	b.search.Layouts = append([]layout.Layout{l}, b.search.Layouts...)
+	b.shards[snapshot] = shards
+	b.setSnapshots()
+	text := encode(b.search)
+	b.mu.Unlock()
+	b.Platform.Publish(map[string]string{"service/" + SearchService: text})
+}
+
+// DropSnapshots stops serving all but the newest snapshot, before the configuration says so.
+func (b *Backend) DropSnapshots() {
+	b.mu.Lock()
+	b.search.Layouts = b.search.Layouts[:1]
+	b.setSnapshots()
+	text := encode(b.search)
+	b.mu.Unlock()
+	b.Platform.Publish(map[string]string{"service/" + SearchService: text})
+}
+
+// searchUpstreams gives the first replicas of all shards of the first layout, then the second ones.
+func (b *Backend) searchUpstreams() []string {
+	names := make([]string, 0, searchShards*replicas)
+	for r := range replicas {
+		for n := range searchShards {
+			names = append(names, upstreamName(SearchService, n, r))
+		}
+	}
+	return names
+}
+
+func (b *Backend) setSnapshots() {
+	snapshots := make([]string, 0, len(b.search.Layouts))
+	for _, l := range b.search.Layouts {
+		snapshots = append(snapshots, l.Snapshot)
+	}
+	for _, name := range b.searchUpstreams() {
+		b.servings[name].SetSnapshots(snapshots...)
+	}
+}
+
+// startService starts the upstreams of one service and gives its description.
+func (b *Backend) startService(name, kind string, shards int, seed uint64) (service.Service, error) {
+	l := layout.Layout{Snapshot: firstSnapshot}
+	for n := range shards {
+		sh := shard.Shard{Name: fmt.Sprintf("%s-%d", name, n)}
+		for r := range replicas {
+			up := upstreamName(name, n, r)
+			if err := b.startUpstream(up, Domains[(n+r)%len(Domains)], seed); err != nil {
+				return service.Service{}, err
+			}
+			sh.Replicas = append(sh.Replicas, up)
+		}
+		l.Shards = append(l.Shards, sh)
+	}
+	return service.Service{Name: name, Kind: kind, Contract: upstreamContract, Layouts: []layout.Layout{l}}, nil
+}
+
+func upstreamName(service string, n, replica int) string {
+	return fmt.Sprintf("%s-%d-%c", service, n, 'a'+replica)
+}
+
+func (b *Backend) startUpstream(name string, d domain.Domain, seed uint64) error {
+	u := upstream.New(name, upstreamContract, serviceTime, seed+uint64(len(b.servings)))
+	u.SetSnapshots(firstSnapshot)
+	address, s, err := b.serve(&http.Server{Handler: u, ConnState: u.ConnState})
+	if err != nil {
+		return err
+	}
+	m := member.Member{
+		Name:          name,
+		Kind:          member.KindUpstream,
+		FailureDomain: d.Name,
+		Region:        d.Region,
+		Address:       address,
+		State:         member.StateLive,
+	}
+	b.servings[name] = &Serving{Upstream: u, Socket: s, Domain: d.Name, member: m}
+	b.Platform.SetMember(m)
+	return nil
+}
+
+func (b *Backend) serve(server *http.Server) (string, *socket.Socket, error) {
+	s, err := socket.Listen()
+	if err != nil {
+		return "", nil, err
+	}
+	b.servers = append(b.servers, server)
+	go func() { _ = server.Serve(s) }()
+	return s.Addr().String(), s, nil
+}
+
+// values gives the first revision of the configuration.
+func values(services ...service.Service) map[string]string {
+	all := map[string]string{
+		"in-force":     `{"preset": "ordinary"}`,
+		"class/buyer":  encode(class.Class{Name: "buyer", Concurrency: callerConcurrency, Cost: callerConcurrency * searchShards}),
+		"caller/demo":  encode(caller.Caller{Name: "demo", Key: CallerKey, Class: "buyer"}),
+		"caller/other": encode(caller.Caller{Name: "other", Key: "other-" + CallerKey, Class: "buyer"}),
+	}
+	presets := []preset.Preset{
+		{Name: "ordinary", DeadlineMS: 1000, AnswerPolicy: preset.PolicyCoverage, HedgeQuantile: 0.95, HedgeShare: 0.05, RetryShare: 0.1},
+		{Name: "peak", DeadlineMS: 1000, AnswerPolicy: preset.PolicyTail, TailWaitMS: 200, HedgeQuantile: 0.98, HedgeShare: 0.02, RetryShare: 0.05},
+		{Name: "maintenance", DeadlineMS: 2000, AnswerPolicy: preset.PolicyCoverage, HedgeQuantile: 0.95, HedgeShare: 0.1, RetryShare: 0.2},
+	}
+	for _, p := range presets {
+		all["preset/"+p.Name] = encode(p)
+	}
+	for _, d := range Domains {
+		all["domain/"+d.Name] = encode(d)
+	}
+	for _, v := range services {
+		all["service/"+v.Name] = encode(v)
+	}
+	return all
+}
+
+func encode(v any) string {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // the values above always encode
+	}
+	return string(text)
+}
--- a/internal/demo/drive/drive.go
+++ b/internal/demo/drive/drive.go
@@ -9,13 +9,12 @@
 	"sync"
 	"time"
 
+	"crocuswing/internal/demo/backend"
 	"crocuswing/internal/demo/report"
-	"crocuswing/internal/demo/site"
 	"crocuswing/internal/order/outcome"
 	"crocuswing/internal/query/answer"
 	"crocuswing/internal/standin/caller"
 	"crocuswing/internal/standin/upstream"
-	"crocuswing/internal/wire/call"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
@@ -27,10 +26,19 @@
 	maxLatencyUS   = 60_000_000
 )
 
-// Driver sends requests to a site and judges the answers.
+// Tier answers the demonstration's requests.
+type Tier interface {
+	// Search fails with *caller.StatusError if it was refused.
+	Search(ctx context.Context, id, text string) (answer.Answer, error)
+	// Order gives the state of the outcome, also beside an error.
+	Order(ctx context.Context, body string) (string, error)
+}
+
+// Driver sends requests to a tier and judges the answers by the records of the upstreams.
 type Driver struct {
-	site   *site.Site
-	caller *caller.Caller
+	backend *backend.Backend
+	tier    Tier
+	pace    time.Duration
 
 	mu        sync.Mutex
 	report    report.Report
@@ -38,32 +46,47 @@
 	outcomes  map[string]string       // by the body of the order
 }
 
-// New makes a driver for a running site.
-func New(s *site.Site) *Driver {
-	return &Driver{
-		site:      s,
-		caller:    caller.New(site.CallerKey),
+// Option changes how a driver sends.
+type Option func(*Driver)
+
+// WithPace spreads the requests evenly over d; without it each follows the last at once.
+func WithPace(d time.Duration) Option {
+	return func(driver *Driver) { driver.pace = d }
+}
+
+// New makes a driver.
+func New(b *backend.Backend, t Tier, options ...Option) *Driver {
+	d := &Driver{
+		backend:   b,
+		tier:      t,
 		report:    report.Report{MinCoverage: 1},
 		latencies: hdrhistogram.New(1, maxLatencyUS, 3),
 		outcomes:  make(map[string]string),
 	}
+	for _, o := range options {
+		o(d)
+	}
+	return d
 }
 
 // Run sends all queries and orders and returns the verdict.
 func (d *Driver) Run(ctx context.Context, queries, orders int) report.Report {
 	start := time.Now()
 	var work sync.WaitGroup
-	work.Go(func() { each(queries, queryWorkers, func(n int) { d.query(ctx, n) }) })
-	work.Go(func() { each(orders, orderWorkers, func(n int) { d.order(ctx, n) }) })
+	work.Go(func() { d.each(queries, queryWorkers, func(n int) { d.query(ctx, n) }) })
+	work.Go(func() { d.each(orders, orderWorkers, func(n int) { d.order(ctx, n) }) })
 	work.Wait()
-	d.caller.Close()
 	d.report.ElapsedMS = time.Since(start).Milliseconds()
 	d.judge()
 	return d.report
 }
 
-// each calls do for 0 to n-1 from a fixed number of goroutines.
-func each(n, workers int, do func(int)) {
+// each calls do for 0 to n-1 from a fixed number of goroutines, or at the driver's pace.
+func (d *Driver) each(n, workers int, do func(int)) {
+	if d.pace > 0 {
+		d.eachPaced(n, do)
+		return
+	}
 	jobs := make(chan int, workers)
 	var work sync.WaitGroup
 	for range workers {
@@ -80,13 +103,23 @@
 	work.Wait()
 }
 
+func (d *Driver) eachPaced(n int, do func(int)) {
+	var work sync.WaitGroup
+	start := time.Now()
+	for job := range n {
+		time.Sleep(time.Until(start.Add(d.pace * time.Duration(job) / time.Duration(n))))
+		work.Go(func() { do(job) })
+	}
+	work.Wait()
+}
+
 func (d *Driver) query(ctx context.Context, n int) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	id := fmt.Sprintf("demo-query-%d", n)
 	text := fmt.Sprintf("cotton-%d", n)
 	start := time.Now()
-	a, err := d.caller.Search(ctx, d.site.Balancer.Pick(), id, call.Search{Service: site.SearchService, Query: text})
+	a, err := d.tier.Search(ctx, id, text)
 	took := time.Since(start)
 
 	d.mu.Lock()
@@ -135,7 +168,7 @@
 			return false
 		}
 	}
-	total := d.site.Shards(a.Snapshot)
+	total := d.backend.Shards(a.Snapshot)
 	return a.Coverage.Total == total && a.Coverage.Answered == len(shards) &&
 		a.Coverage.Answered+len(a.Coverage.Missing) == total
 }
@@ -144,7 +177,7 @@
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	body := fmt.Sprintf("mattress-%d", n)
-	state, err := d.place(ctx, body)
+	state, err := d.tier.Order(ctx, body)
 
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -155,24 +188,6 @@
 	}
 }
 
-// place takes a ticket from one instance and places the order through another.
-func (d *Driver) place(ctx context.Context, body string) (string, error) {
-	t, err := d.caller.Ticket(ctx, d.site.Balancer.Pick(), site.OrderService)
-	if err != nil {
-		return outcome.NotRun, err
-	}
-	m := call.Order{Ticket: t.Ticket, Service: site.OrderService, Key: body, Body: body}
-	o, err := d.caller.Order(ctx, d.site.Balancer.Pick(), m)
-	var refused *caller.StatusError
-	if errors.As(err, &refused) {
-		return refused.Refusal.Outcome, err
-	}
-	if err != nil {
-		return outcome.Unknown, err
-	}
-	return o.State, nil
-}
-
 // countCut counts an error that is not an answer of the tier.
 func (d *Driver) countCut(err error) {
 	var refused *caller.StatusError
@@ -185,23 +200,17 @@
 func (d *Driver) judge() {
 	for body, state := range d.outcomes {
 		ran := 0
-		for _, u := range d.site.Upstreams {
+		for _, u := range d.backend.Upstreams() {
 			ran += u.Ran(body)
 		}
 		d.judgeOrder(state, ran)
 	}
-	for _, u := range d.site.Upstreams {
+	for _, u := range d.backend.Upstreams() {
 		r := u.Record()
 		d.report.ColdOverload += r.ColdOverload
 		d.report.WorkAfterLeave += r.WorkAfterLeave
+		d.report.OverConnected += r.OverConnected
 	}
-	var first, extra int64
-	for _, r := range d.site.Instances() {
-		s := r.Status()
-		first += s.FirstAttempts
-		extra += s.ExtraAttempts
-	}
-	d.report.ExtraLoad = float64(extra) / float64(max(first, 1))
 	d.report.P50MS = float64(d.latencies.ValueAtQuantile(50)) / 1000
 	d.report.P99MS = float64(d.latencies.ValueAtQuantile(99)) / 1000
 }
--- /dev/null
+++ b/internal/demo/naive/naive.go
@@ -0,0 +1,101 @@
+// Package naive is the baseline: a caller that asks the first replica of each shard once, waits for
+// all, and repeats orders blindly.
+package naive
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+
+	"crocuswing/internal/demo/backend"
+	"crocuswing/internal/order/outcome"
+	"crocuswing/internal/query/answer"
+	"crocuswing/internal/query/gather"
+	"crocuswing/internal/wire/header"
+	"crocuswing/internal/wire/order"
+	"crocuswing/internal/wire/part"
+)
+
+const (
+	orderTries  = 3
+	orderShards = 30
+)
+
+// Naive asks the upstreams itself, without any instance. It is safe for concurrent use.
+type Naive struct {
+	backend *backend.Backend
+	client  *http.Client
+}
+
+// New makes the baseline.
+func New(b *backend.Backend) *Naive {
+	return &Naive{backend: b, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 25}}}
+}
+
+// Close closes the idle connections.
+func (n *Naive) Close() { n.client.CloseIdleConnections() }
+
+// Search asks the first replica of each shard once and waits for all answers or the end of ctx.
+func (n *Naive) Search(ctx context.Context, id, text string) (answer.Answer, error) {
+	l := n.backend.SearchLayout()
+	replies := make([]part.Reply, len(l.Shards))
+	var work sync.WaitGroup
+	for i, s := range l.Shards {
+		work.Go(func() {
+			q := part.Request{RequestID: fmt.Sprintf("%s/%d", id, i), Service: backend.SearchService, Shard: s.Name, Snapshot: l.Snapshot, Query: text}
+			_ = n.post(ctx, s.Replicas[0], "/v1/part", q.RequestID, q, &replies[i])
+		})
+	}
+	work.Wait()
+	g := gather.New(l.Snapshot, l.Shards)
+	for _, r := range replies {
+		g.Add(r)
+	}
+	return answer.Answer{RequestID: id, Snapshot: l.Snapshot, Coverage: g.Coverage(), Rows: g.Rows()}, nil
+}
+
+// Order sends an order up to three times to either replica, whatever became of the earlier tries.
+func (n *Naive) Order(ctx context.Context, body string) (string, error) {
+	var hash int
+	for _, c := range body {
+		hash = (hash*31 + int(c)) % orderShards
+	}
+	q := order.Request{RequestID: body, Service: backend.OrderService, Key: body, Body: body}
+	for try := range orderTries {
+		name := fmt.Sprintf("%s-%d-%c", backend.OrderService, hash, 'a'+try%2)
+		if n.post(ctx, name, "/v1/order", body, q, &order.Reply{}) == nil {
+			return outcome.Done, nil
+		}
+	}
+	return outcome.NotRun, nil
+}
+
+func (n *Naive) post(ctx context.Context, upstream, path, id string, message, reply any) error {
+	text, err := json.Marshal(message)
+	if err != nil {
+		return err
+	}
+	url := "http://" + n.backend.Upstream(upstream).Socket.Addr().String() + path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
+	req.Header.Set(header.RequestID, id)
+	resp, err := n.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("upstream answered %s", resp.Status)
+	}
+	return json.Unmarshal(body, reply)
+}
--- a/internal/demo/report/report.go
+++ b/internal/demo/report/report.go
@@ -25,6 +25,7 @@
 	FalseNotRun    int     `json:"false-not-run"`
 	ColdOverload   int     `json:"cold-overload"`
 	WorkAfterLeave int     `json:"work-after-leave"`
+	OverConnected  int     `json:"over-connected"`
 	CutRequests    int     `json:"cut-requests"`
 	P50MS          float64 `json:"p50-ms"`
 	P99MS          float64 `json:"p99-ms"`
@@ -36,7 +37,7 @@
 // Violations is the number of promises that were broken.
 func (r Report) Violations() int {
 	return r.FalseCoverage + r.MixedSnapshots + r.CrossedAnswers + r.DoubledOrders + r.LostOrders +
-		r.FalseNotRun + r.ColdOverload + r.WorkAfterLeave + r.CutRequests
+		r.FalseNotRun + r.ColdOverload + r.WorkAfterLeave + r.OverConnected + r.CutRequests
 }
 
 // WriteJSON writes the report as one JSON object.
@@ -62,6 +63,7 @@
 		{"false not-run", r.FalseNotRun},
 		{"cold overload", r.ColdOverload},
 		{"work after leave", r.WorkAfterLeave},
+		{"connections above the limit", r.OverConnected},
 		{"cut requests", r.CutRequests},
 		{"p50", fmt.Sprintf("%.1f ms", r.P50MS)},
 		{"p99", fmt.Sprintf("%.1f ms", r.P99MS)},
--- a/internal/standin/balancer/balancer.go
+++ b/internal/standin/balancer/balancer.go
@@ -2,6 +2,7 @@
 package balancer
 
 import (
+	"slices"
 	"sync"
 )
 
@@ -15,17 +16,27 @@
 // New makes a balancer over the given addresses.
 func New(addresses ...string) *Balancer { return &Balancer{addresses: addresses} }
 
-// Set replaces the addresses.
-func (b *Balancer) Set(addresses ...string) {
+// Add adds an address.
+func (b *Balancer) Add(address string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.addresses = addresses
+	b.addresses = append(b.addresses, address)
 }
 
-// Pick gives the next address.
+// Remove takes an address away.
+func (b *Balancer) Remove(address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.addresses = slices.DeleteFunc(b.addresses, func(a string) bool { return a == address })
+}
+
+// Pick gives the next address, or "" if there is none.
 func (b *Balancer) Pick() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(b.addresses) == 0 {
+		return ""
+	}
 	b.next++
 	return b.addresses[b.next%len(b.addresses)]
 }
--- /dev/null
+++ b/internal/standin/socket/socket_test.go
@@ -0,0 +1,61 @@
+package socket
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// echo answers each connection with what it sends.
+func echo(s *Socket) {
+	for {
+		c, err := s.Accept()
+		if err != nil {
+			return
+		}
+		go func() { _, _ = io.Copy(c, c) }()
+	}
+}
+
+func dial(t *testing.T, s *Socket) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func roundTrip(c net.Conn) error {
+	if _, err := c.Write([]byte("x")); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(c, make([]byte, 1))
+	return err
+}
+
+func TestFaults(t *testing.T) {
+	s, err := Listen()
+	require.NoError(t, err)
+	defer s.Close()
+	go echo(s)
+
+	old := dial(t, s)
+	require.NoError(t, roundTrip(old))
+	require.Equal(t, 1, s.Silence())
+	_, err = old.Write([]byte("x"))
+	require.NoError(t, err)
+	fresh := dial(t, s)
+	require.NoError(t, roundTrip(fresh))
+
+	s.Cut()
+	require.Error(t, roundTrip(fresh))
+	_, err = old.Read(make([]byte, 1))
+	require.Error(t, err, "the silent connection delivered nothing until it was cut")
+
+	s.SetDown(true)
+	require.Error(t, roundTrip(dial(t, s)))
+	s.SetDown(false)
+	require.NoError(t, roundTrip(dial(t, s)))
+}
