--- a/internal/forward/runner/execution.go
+++ b/internal/forward/runner/execution.go
@@ -56,7 +56,7 @@
 	if able := x.able(); able < x.least {
 		return refuse(fmt.Sprintf("%d of %d services have an upstream that may take work", able, len(x.legs)))
 	}
-	defer close(x.ended)
+	defer x.end()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for _, l := range x.legs {
@@ -82,6 +82,15 @@
 	}
 }
 
+// end withdraws what runs on slow upstreams: it costs them more than a new connection, and nobody needs it any more.
+func (x *execution) end() {
+	close(x.ended)
+	now := time.Now()
+	for _, l := range x.legs {
+		l.withdrawSlow(now)
+	}
+}
+
 // able is the number of legs that can begin now or soon.
 func (x *execution) able() int {
 	able := 0
--- a/internal/forward/runner/leg.go
+++ b/internal/forward/runner/leg.go
@@ -336,6 +336,16 @@
 	return mayHaveRun
 }
 
+// withdrawSlow ends the attempts in flight on upstreams that are slow: all if the leg has no answer, else those that are late. The
+// others are about to end, and cutting them off would cost a connection each.
+func (l *leg) withdrawSlow(now time.Time) {
+	for _, t := range l.tries {
+		if !t.isEnded && (!l.isDone || now.Sub(t.start) > l.pace.Hedge(t.replica.Distance())) {
+			t.cancel()
+		}
+	}
+}
+
 func (l *leg) describe(b *strings.Builder) {
 	if len(l.tries) == 1 && l.tries[0].outcome == "ok" {
 		return
--- a/internal/forward/runner/load_test.go
+++ b/internal/forward/runner/load_test.go
@@ -250,3 +250,27 @@
 		}
 	})
 }
+
+// TestWorkNobodyWaitsFor makes one shard so slow that answers go out without it. The attempts on it end with the answer: work that
+// nobody waits for any more keeps an overloaded upstream overloaded (Bronson et al., "Metastable failures in distributed systems",
+// HotOS 2021).
+func TestWorkNobodyWaitsFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := lookup()
+		s.PauseEvery = 0
+		r := newRig(t, s)
+		defer r.stop()
+		r.load(22, 3*time.Second, s.route.Timeout, r.tier.Run)
+		for _, p := range r.replicas["s07"] {
+			p.SetSlow(1000)
+		}
+		for range 20 {
+			o := r.tier.Run(t.Context(), r.request(s.route.Timeout))
+			answered := time.Now()
+			require.Equal(t, 1, o.Missing)
+			r.tier.Wait(t.Context())
+			require.Zero(t, time.Since(answered))
+			time.Sleep(time.Second)
+		}
+	})
+}
