feat(forward): bound what an instance begins by its memory, and refuse lower ranks first

An instance had no bound of the requests that it works on: a flood beyond its memory would have ended the process and all of its requests with it. The bound is a quarter of the memory divided by what a leg takes; requests of each rank leave a tenth of it to those above. TestRanksUnderOverload sends twenty times what the instance may begin.

--- a/internal/forward/runner/execution.go
+++ b/internal/forward/runner/execution.go
@@ -56,6 +56,10 @@
 	if able := x.able(); able < x.least {
 		return refuse(fmt.Sprintf("%d of %d services have an upstream that may take work", able, len(x.legs)))
 	}
+	if !x.ceiling.Enter(len(x.legs), x.route.Rank) {
+		return refuse("this instance has begun as much as it may")
+	}
+	defer x.ceiling.Leave(len(x.legs))
 	defer x.end()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
--- a/internal/forward/runner/load_test.go
+++ b/internal/forward/runner/load_test.go
@@ -1,12 +1,19 @@
 package runner
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"crocuswing/internal/forward/reply"
+	"crocuswing/internal/forward/request"
+	"crocuswing/internal/routing/limits"
+	"crocuswing/internal/routing/route"
+	"crocuswing/internal/routing/table"
 	"crocuswing/internal/standin/replica"
 
 	"github.com/stretchr/testify/require"
@@ -274,3 +281,43 @@
 		}
 	})
 }
+
+// TestRanksUnderOverload sends twenty times what the instance may begin, half of it of a lower rank: the instance keeps within its
+// bound, the lower rank is refused first and at once, and what is refused has not run (priority inversion, load shedding by criticality).
+func TestRanksUnderOverload(t *testing.T) {
+	const most = 200 // legs, ten requests
+	synctest.Test(t, func(t *testing.T) {
+		s := lookup()
+		r := newRig(t, s)
+		defer r.stop()
+		low := s.route
+		low.Name, low.Prefix, low.Rank = "low", "/low/", 4
+		high, _ := r.view.Table.Lookup("h", "/x")
+		low.Shards = high.Shards
+		r.view.Table = table.New(2, []route.Route{*high, low}, nil, limits.Limits{})
+		r.tier.ceiling.SetMost(most)
+		isLow := func(q request.Request) bool { return q.ID[len(q.ID)-1]%2 == 0 }
+		var peak atomic.Int64
+		outcomes := r.load(2000, 2*time.Second, s.route.Timeout, func(ctx context.Context, q request.Request) reply.Reply {
+			if isLow(q) {
+				q.Path, q.Target = "/low/x", "/low/x"
+			}
+			a := r.tier.Run(ctx, q)
+			peak.Store(max(peak.Load(), int64(r.tier.ceiling.Used())))
+			return a
+		})
+		served, refused := make(map[bool]int), make(map[bool]int)
+		for _, o := range outcomes {
+			if o.Status != http.StatusServiceUnavailable {
+				served[isLow(o.Request)]++
+				continue
+			}
+			refused[isLow(o.Request)]++
+			require.Zero(t, o.took)
+			require.Positive(t, o.RetryAfter)
+		}
+		require.LessOrEqual(t, peak.Load(), int64(most))
+		require.Greater(t, served[false], 3*served[true])
+		require.Positive(t, refused[false])
+	})
+}
--- a/internal/forward/runner/runner.go
+++ b/internal/forward/runner/runner.go
@@ -10,6 +10,7 @@
 	"crocuswing/internal/forward/pacing"
 	"crocuswing/internal/forward/reply"
 	"crocuswing/internal/forward/request"
+	"crocuswing/internal/policy/ceiling"
 	"crocuswing/internal/published/board"
 	"crocuswing/internal/routing/split"
 	"crocuswing/internal/stats/history"
@@ -65,12 +66,19 @@
 	meter    Meter
 	log      *zap.Logger
 	attempts group.Group
+	ceiling  *ceiling.Ceiling
 	begun    time.Time
 }
 
+// Option changes how a runner is made.
+type Option func(*Runner)
+
+// WithCeiling bounds the legs of all requests together.
+func WithCeiling(c *ceiling.Ceiling) Option { return func(r *Runner) { r.ceiling = c } }
+
 // New makes a runner.
-func New(w Wire, c Clusters, v Viewer, h *history.History, m Meter, log *zap.Logger) *Runner {
-	return &Runner{
+func New(w Wire, c Clusters, v Viewer, h *history.History, m Meter, log *zap.Logger, options ...Option) *Runner {
+	r := &Runner{
 		wire:     w,
 		clusters: c,
 		viewer:   v,
@@ -79,8 +87,13 @@
 		splitter: split.New(),
 		meter:    m,
 		log:      log,
+		ceiling:  ceiling.New(0),
 		begun:    time.Now(),
 	}
+	for _, o := range options {
+		o(r)
+	}
+	return r
 }
 
 // Run answers one request. ctx ends when the caller has left.
--- /dev/null
+++ b/internal/policy/ceiling/ceiling_test.go
@@ -0,0 +1,62 @@
+package ceiling
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestRanks(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		used, units, rank int
+		want              bool
+	}{
+		{"room", 50, 10, 3, true},
+		{"highest rank takes all", 90, 10, 0, true},
+		{"above the bound", 91, 10, 0, false},
+		{"lower rank leaves a part", 85, 10, 1, false},
+		{"lowest ranks have half", 45, 5, 40, true},
+		{"and no more", 46, 5, 40, false},
+		{"a negative rank is the highest", 90, 10, -1, true},
+		{"larger than the bound, alone", 0, 1000, 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := New(100)
+			l.used = c.used
+			require.Equal(t, c.want, l.Enter(c.units, c.rank))
+		})
+	}
+	l := New(0)
+	require.True(t, l.Enter(1_000_000, 9))
+	require.True(t, l.Enter(1_000_000, 9), "no bound")
+}
+
+// TestBound never exceeds the bound by more than one request, whatever enters and leaves, and ends with nothing.
+func TestBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New(50)
+		var in []int
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if len(in) > 0 && rapid.Bool().Draw(t, "leave") {
+				l.Leave(in[0])
+				in = in[1:]
+				continue
+			}
+			units := rapid.IntRange(1, 20).Draw(t, "units")
+			if l.Enter(units, rapid.IntRange(0, 5).Draw(t, "rank")) {
+				in = append(in, units)
+			}
+			if l.Used() > 50 {
+				t.Fatalf("%d units are in use", l.Used())
+			}
+		}
+		for _, units := range in {
+			l.Leave(units)
+		}
+		if l.Used() != 0 {
+			t.Fatalf("%d units are left", l.Used())
+		}
+	})
+}
--- a/internal/routing/route/route.go
+++ b/internal/routing/route/route.go
@@ -15,6 +15,8 @@
 	Once bool
 	// MaxAttempts is the highest number of upstreams to which a request may be sent, for each service.
 	MaxAttempts int
+	// Rank orders routes by importance, 0 being the highest.
+	Rank int
 	// Timeout is the longest time for which a request may be kept waiting.
 	Timeout time.Duration
 	// Objective is the latency within which an answer has its full value.
--- a/internal/serve/tier/tier.go
+++ b/internal/serve/tier/tier.go
@@ -16,6 +16,7 @@
 	"crocuswing/internal/network/socket"
 	"crocuswing/internal/operator/metric"
 	"crocuswing/internal/peer/server"
+	"crocuswing/internal/policy/ceiling"
 	"crocuswing/internal/published/board"
 	"crocuswing/internal/published/follower"
 	"crocuswing/internal/published/relay"
@@ -33,6 +34,10 @@
 	pollEvery = time.Second
 	// memoryShare of the limit is where the runtime collects more eagerly; the rest is for what it does not count.
 	memoryShare = 0.8
+	// legShare of the memory is for legs of requests; the rest is for what is known of upstreams, bodies and garbage.
+	legShare = 0.25
+	// legBytes is what the attempt of a leg takes: two buffers of 4 KiB of its connection, and the stack of its goroutine of 8 KiB.
+	legBytes = 16 << 10
 	// headerTimeout is a last resort; callers are bounded by the limits of the configuration.
 	headerTimeout  = 30 * time.Second
 	maxHeaderBytes = 1 << 20
@@ -49,6 +54,7 @@
 	runner   *runner.Runner
 	conns    *connections.Connections
 	flight   *flight.Flight
+	ceiling  *ceiling.Ceiling
 	handler  http.Handler
 	ports    Ports
 	stopping atomic.Bool
@@ -76,15 +82,17 @@
 		metrics:  metric.New(),
 		conns:    connections.New(),
 		flight:   flight.New(),
+		ceiling:  ceiling.New(legs(s)),
 	}
 	seen := history.New()
 	t.catalog = catalog.New(s, seen)
 	t.census = census.New(s.Instance, s.PeerAddress, s.Seeds, t.log, t.catalog.SetInstances)
 	source := relay.New(p.Store, t.census, t.metrics.Count)
 	t.follower = follower.New(source, pollEvery, t.log, follower.WithUpdate(t.update), follower.WithCounter(t.metrics.Count))
-	t.runner = runner.New(p.Wire, t.catalog, t.follower, seen, t.metrics, t.log)
+	t.runner = runner.New(p.Wire, t.catalog, t.follower, seen, t.metrics, t.log, runner.WithCeiling(t.ceiling))
 	t.handler = t.entry(p.Handler(t.runner))
 	t.metrics.Gauge("crocuswing_instances", func() float64 { return float64(t.census.Size()) })
+	t.metrics.Gauge("crocuswing_legs_in_flight", func() float64 { return float64(t.ceiling.Used()) })
 	t.metrics.Gauge("crocuswing_requests_in_flight", func() float64 { return float64(t.flight.Requests()) })
 	return t
 }
@@ -95,10 +103,14 @@
 		t.log.Warn("changed addresses take effect at the next start")
 	}
 	t.catalog.SetSettings(s)
+	t.ceiling.SetMost(legs(s))
 	t.census.SetSeeds(s.Seeds)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 }
 
+// legs is the number of legs for which the memory suffices, 0 if it is not bounded.
+func legs(s deployment.Settings) int { return int(legShare * float64(s.MemoryBytes) / legBytes) }
+
 // Run serves until ctx ends, then finishes what is in flight.
 func (t *Tier) Run(ctx context.Context) error {
 	if t.settings.MemoryBytes > 0 {
