feat(entry): bound callers' connections by the sockets of the instance, and close the longest idle above it

Thousands of idle connections would have used up the descriptors, and with them those for upstreams and other callers. TestTooMany opens ten times the bound; without the eviction it fails.

--- a/internal/entry/connections/connections.go
+++ b/internal/entry/connections/connections.go
@@ -1,4 +1,4 @@
-// Package connections follows the connections of callers, and closes those that are idle or slow for too long.
+// Package connections follows the connections of callers, and closes those that are idle or slow for too long or too many.
 package connections
 
 import (
@@ -22,6 +22,7 @@
 type Connections struct {
 	mu     sync.Mutex
 	limits limits.Limits
+	most   int // connections; 0 for no bound
 	open   map[net.Conn]*state
 }
 
@@ -44,6 +45,14 @@
 	}
 }
 
+// SetMost bounds the number of connections; 0 for no bound. Above it each new one takes the place of the one that has waited longest
+// for a request, so that nobody keeps others out by connections alone.
+func (c *Connections) SetMost(most int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.most = most
+}
+
 // SetLimits changes the times that callers may take.
 func (c *Connections) SetLimits(l limits.Limits) {
 	c.mu.Lock()
@@ -88,11 +97,33 @@
 	switch to {
 	case http.StateNew, http.StateActive, http.StateIdle:
 		c.open[conn] = &state{since: time.Now(), isIdle: to == http.StateIdle}
+		if to == http.StateNew && c.most > 0 && len(c.open) > c.most {
+			c.evict(conn)
+		}
 	case http.StateClosed, http.StateHijacked:
 		delete(c.open, conn)
 	}
 }
 
+// evict closes the connection that has waited longest, but not the given one. Those at work stay.
+func (c *Connections) evict(but net.Conn) {
+	var oldest net.Conn
+	for conn, s := range c.open {
+		if conn != but && !s.isServing && (oldest == nil || s.since.Before(c.open[oldest].since)) {
+			oldest = conn
+		}
+	}
+	if oldest != nil {
+		c.close(oldest)
+	}
+}
+
+// close ends a connection; the server reports its end.
+func (c *Connections) close(conn net.Conn) {
+	_ = conn.Close()
+	delete(c.open, conn)
+}
+
 func (c *Connections) sweep(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -106,8 +137,7 @@
 	for conn, s := range c.open {
 		age := now.Sub(s.since)
 		if (s.isIdle && age > idle) || (!s.isIdle && !s.isServing && age > max(header, idle)) {
-			_ = conn.Close() // its end is reported by the server
-			delete(c.open, conn)
+			c.close(conn)
 		}
 	}
 }
--- a/internal/entry/connections/connections_test.go
+++ b/internal/entry/connections/connections_test.go
@@ -16,22 +16,28 @@
 	"github.com/stretchr/testify/require"
 )
 
-// rig serves a handler that takes a second for each request.
-func rig(t *testing.T, l limits.Limits, test func(t *testing.T, c *Connections, conn net.Conn)) {
+// rig serves a handler that takes long for each request but those to /quick.
+func rig(t *testing.T, l limits.Limits, test func(t *testing.T, c *Connections, conn net.Conn, dial func() net.Conn)) {
 	synctest.Test(t, func(t *testing.T) {
 		c, n := New(), network.New(time.Millisecond)
 		c.SetLimits(l)
 		server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			c.Served(r.Context())
-			time.Sleep(20 * time.Second)
+			if r.URL.Path != "/quick" {
+				time.Sleep(20 * time.Second)
+			}
 		})}
 		c.Follow(server)
-		go func() { _ = server.Serve(n.Listen("a", 8)) }()
+		go func() { _ = server.Serve(n.Listen("a", 64)) }()
 		ctx, cancel := context.WithCancel(t.Context())
 		go c.Run(ctx)
 		conn, err := n.Dial(ctx, "a")
 		require.NoError(t, err)
-		test(t, c, conn)
+		test(t, c, conn, func() net.Conn {
+			other, err := n.Dial(ctx, "a")
+			require.NoError(t, err)
+			return other
+		})
 		cancel()
 		_ = conn.Close()
 		_ = server.Close()
@@ -50,7 +56,7 @@
 var short = limits.Limits{HeaderTime: 3 * time.Second, IdleTime: 5 * time.Second}
 
 func TestIdle(t *testing.T) {
-	rig(t, short, func(t *testing.T, c *Connections, conn net.Conn) {
+	rig(t, short, func(t *testing.T, c *Connections, conn net.Conn, _ func() net.Conn) {
 		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 		require.NoError(t, err)
 		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -62,7 +68,7 @@
 }
 
 func TestSlowHeader(t *testing.T) {
-	rig(t, short, func(t *testing.T, _ *Connections, conn net.Conn) {
+	rig(t, short, func(t *testing.T, _ *Connections, conn net.Conn, _ func() net.Conn) {
 		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHo")
 		require.NoError(t, err)
 		require.InDelta(t, 5, closedAfter(t, conn).Seconds(), 0.5)
@@ -70,7 +76,31 @@
 }
 
 func TestNothingSent(t *testing.T) {
-	rig(t, short, func(t *testing.T, _ *Connections, conn net.Conn) {
+	rig(t, short, func(t *testing.T, _ *Connections, conn net.Conn, _ func() net.Conn) {
 		require.InDelta(t, 5, closedAfter(t, conn).Seconds(), 0.5)
 	})
 }
+
+// TestTooMany opens far more connections than are allowed and leaves them idle: a caller that comes last is served, and so is one whose
+// request is in flight.
+func TestTooMany(t *testing.T) {
+	rig(t, short, func(t *testing.T, c *Connections, conn net.Conn, dial func() net.Conn) {
+		const most = 20
+		c.SetMost(most)
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+		synctest.Wait()
+		for range 10 * most {
+			other := dial()
+			_, err := io.WriteString(other, "GET /quick HTTP/1.1\r\nHost: a\r\n\r\n")
+			require.NoError(t, err)
+			_, err = http.ReadResponse(bufio.NewReader(other), nil)
+			require.NoError(t, err)
+			c.mu.Lock()
+			require.LessOrEqual(t, len(c.open), most)
+			c.mu.Unlock()
+		}
+		_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err, "a request in flight is not cut off")
+	})
+}
--- a/internal/serve/tier/tier.go
+++ b/internal/serve/tier/tier.go
@@ -38,6 +38,8 @@
 	legShare = 0.25
 	// legBytes is what the attempt of a leg takes: two buffers of 4 KiB of its connection, and the stack of its goroutine of 8 KiB.
 	legBytes = 16 << 10
+	// callerShare of the sockets is for callers; upstreams and other instances have the rest.
+	callerShare = 0.5
 	// headerTimeout is a last resort; callers are bounded by the limits of the configuration.
 	headerTimeout  = 30 * time.Second
 	maxHeaderBytes = 1 << 20
@@ -82,8 +84,9 @@
 		metrics:  metric.New(),
 		conns:    connections.New(),
 		flight:   flight.New(),
-		ceiling:  ceiling.New(legs(s)),
+		ceiling:  ceiling.New(0),
 	}
+	t.bound(s)
 	seen := history.New()
 	t.catalog = catalog.New(s, seen)
 	t.census = census.New(s.Instance, s.PeerAddress, s.Seeds, t.log, t.catalog.SetInstances)
@@ -103,13 +106,16 @@
 		t.log.Warn("changed addresses take effect at the next start")
 	}
 	t.catalog.SetSettings(s)
-	t.ceiling.SetMost(legs(s))
+	t.bound(s)
 	t.census.SetSeeds(s.Seeds)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 }
 
-// legs is the number of legs for which the memory suffices, 0 if it is not bounded.
-func legs(s deployment.Settings) int { return int(legShare * float64(s.MemoryBytes) / legBytes) }
+// bound keeps what callers cause within the memory and the sockets of the instance.
+func (t *Tier) bound(s deployment.Settings) {
+	t.ceiling.SetMost(int(legShare * float64(s.MemoryBytes) / legBytes))
+	t.conns.SetMost(int(callerShare * float64(s.Sockets)))
+}
 
 // Run serves until ctx ends, then finishes what is in flight.
 func (t *Tier) Run(ctx context.Context) error {
--- a/internal/settings/deployment/deployment.go
+++ b/internal/settings/deployment/deployment.go
@@ -26,6 +26,8 @@
 	Seeds        []string
 	StoreAddress string
 	MemoryBytes  int64
+	// Sockets is the number of sockets that the process may have; 0 if it is not bounded.
+	Sockets int
 	Bounds
 }
 
