feat(upstream): with more instances than an upstream takes connections, each keeps them to some upstreams

An upstream takes 64 connections; every instance kept one to each. Change: an instance keeps connections to its part of the upstreams of a service, the nearest first and then by rendezvous hashing, and moves them from one that leaves or fails. Attempts on others open a connection each and close it. TestHomes holds the connections of an upstream within 64 for 4 to 2,800 instances; TestHomeMoves.

--- a/internal/query/choice/choice.go
+++ b/internal/query/choice/choice.go
@@ -75,6 +75,8 @@
 	LoadAge time.Duration
 	// Penalty is what an attempt is expected to lose because the upstream refuses or fails some of them.
 	Penalty time.Duration
+	// Transient tells that this instance keeps no connection to the upstream, so that an attempt needs a new one.
+	Transient bool
 	// Record is what this instance saw of the upstream.
 	Record history.Record
 }
@@ -124,9 +126,12 @@
 	return better(all, a, b, intn), true
 }
 
-// rank puts suspect and full replicas last.
+// rank puts suspect and full replicas last, and before them those that need a new connection.
 func (c *Candidate) rank(usual time.Duration) int {
-	if c.Record.IsSuspect(usual) || c.IsFull() {
+	switch {
+	case c.Record.IsSuspect(usual), c.IsFull():
+		return 2
+	case c.Transient:
 		return 1
 	}
 	return 0
--- a/internal/upstream/catalog/catalog.go
+++ b/internal/upstream/catalog/catalog.go
@@ -75,7 +75,8 @@
 func (c *Catalog) cluster(service string) *cluster.Cluster {
 	known, ok := c.clusters[service]
 	if !ok {
-		known = cluster.New(service, c.history, allowance.New(c.ratio(), c.slack(), c.settings.ExtraWindow))
+		known = cluster.New(service, c.history, allowance.New(c.ratio(), c.slack(), c.settings.ExtraWindow), cluster.WithInstance(c.settings.Instance))
+		known.SetHomes(c.homes(service))
 		known.SetOut(c.view.Out)
 		known.SetColdRate(c.coldRate(service))
 		c.clusters[service] = known
@@ -125,6 +126,7 @@
 	for name, known := range c.clusters {
 		known.SetBounds(c.ratio(), c.slack())
 		known.SetColdRate(c.coldRate(name))
+		known.SetHomes(c.homes(name))
 		for _, r := range known.Replicas() {
 			r.Link().SetShare(c.connections(name))
 		}
@@ -137,16 +139,35 @@
 	return shareUsed * float64(c.settings.ExtraSlack) / float64(c.instances)
 }
 
-// connections is this instance's part of the connections that one upstream of the service takes.
+// connections is this instance's part of the connections that one upstream of the service takes, at least one.
 func (c *Catalog) connections(service string) int {
-	if c.view.Table == nil {
+	part, ok := c.part(service)
+	if !ok {
 		return defaultConnections
 	}
+	return max(1, int(part))
+}
+
+// homes is the share of the upstreams of the service to which this instance keeps connections: with more instances than an upstream
+// takes connections, each keeps them to some.
+func (c *Catalog) homes(service string) float64 {
+	part, ok := c.part(service)
+	if !ok {
+		return 1
+	}
+	return min(1, part)
+}
+
+// part is what an upstream of the service takes of connections, divided by the instances, and false if it is not known.
+func (c *Catalog) part(service string) (float64, bool) {
+	if c.view.Table == nil {
+		return 0, false
+	}
 	s, ok := c.view.Table.Service(service)
 	if !ok || s.Connections <= 0 {
-		return defaultConnections
+		return 0, false
 	}
-	return max(1, int(shareUsed*float64(s.Connections)/float64(c.instances)))
+	return shareUsed * float64(s.Connections) / float64(c.instances), true
 }
 
 // coldRate is this instance's part of the requests a second that a cold upstream bears, negative for no bound.
--- a/internal/upstream/cluster/cluster.go
+++ b/internal/upstream/cluster/cluster.go
@@ -2,6 +2,7 @@
 package cluster
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -13,6 +14,8 @@
 	"crocuswing/internal/routing/route"
 	"crocuswing/internal/stats/history"
 	"crocuswing/internal/upstream/link"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -26,6 +29,8 @@
 	stuckShare = 0.3
 	// failureCost is the number of hedge times that a failed attempt is worth: it takes an extra attempt, which are few.
 	failureCost = 10
+	// failingMisses in a row take the connections of a replica to another one; a pause is one miss.
+	failingMisses = 3
 	// probeReserve is the number of extra attempts that trials of suspect replicas leave to others.
 	probeReserve = 4
 )
@@ -40,11 +45,23 @@
 	replicas []*Replica
 	out      map[string]bool // failure domains that get no work
 	coldRate int             // requests a second of this instance to a cold replica; negative for no bound
+	instance string
+	homes    float64 // share of the replicas to which this instance keeps connections
 }
 
+// Option changes how a cluster is made.
+type Option func(*Cluster)
+
+// WithInstance names the instance, so that instances differ in the replicas to which they keep connections.
+func WithInstance(name string) Option { return func(c *Cluster) { c.instance = name } }
+
 // New makes an empty cluster. Its extra attempts draw on a.
-func New(name string, h *history.History, a *allowance.Allowance) *Cluster {
-	return &Cluster{name: name, history: h, Allowance: a, coldRate: -1}
+func New(name string, h *history.History, a *allowance.Allowance, options ...Option) *Cluster {
+	c := &Cluster{name: name, history: h, Allowance: a, coldRate: -1, homes: 1}
+	for _, o := range options {
+		o(c)
+	}
+	return c
 }
 
 // Name is that of the service.
@@ -64,6 +81,15 @@
 	c.coldRate = perSecond
 }
 
+// SetHomes changes the share of the replicas to which this instance keeps connections, at least one. Attempts on the others open one
+// each.
+func (c *Cluster) SetHomes(share float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.homes = share
+	c.settle(time.Now())
+}
+
 // Put adds an upstream or brings its registration up to date. open makes the link of a new incarnation.
 func (c *Cluster) Put(r registration.Registration, region string, d choice.Distance, open func() *link.Link) {
 	c.mu.Lock()
@@ -83,6 +109,7 @@
 		return
 	}
 	c.replicas = append(c.replicas, fresh)
+	c.prefer()
 }
 
 func isSameStart(a, b registration.Registration) bool {
@@ -118,12 +145,45 @@
 	Ways [choice.Elsewhere + 1]time.Duration
 }
 
+// prefer sorts the replicas: the nearest first, and among those at one distance in an order of this instance's own. It is rendezvous
+// hashing: Thaler and Ravishankar, "Using name-based mappings to increase hit rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+func (c *Cluster) prefer() {
+	slices.SortFunc(c.replicas, func(a, b *Replica) int {
+		return cmp.Or(cmp.Compare(a.distance, b.distance),
+			cmp.Compare(xxhash.Sum64String(c.instance+" "+a.Name()), xxhash.Sum64String(c.instance+" "+b.Name())), cmp.Compare(a.Name(), b.Name()))
+	})
+}
+
+// settle keeps connections to the first replicas that can be used, as many as are this instance's part.
+func (c *Cluster) settle(now time.Time) {
+	left := max(1, int(c.homes*float64(len(c.replicas))))
+	if left >= len(c.replicas) {
+		left = len(c.replicas)
+	}
+	for _, r := range c.replicas {
+		isHome := left > 0 && c.isUsable(r, now)
+		if isHome {
+			left--
+		}
+		r.setTransient(!isHome && c.homes < 1)
+	}
+}
+
+// isUsable tells whether a replica is worth a connection.
+func (c *Cluster) isUsable(r *Replica, now time.Time) bool {
+	return !c.out[r.registration.FailureDomain] && r.state(now) != choice.StateBarred && !r.isDown(now) &&
+		c.history.Record(r.Name(), now).Misses < failingMisses
+}
+
 // Pick gives the replica for an attempt of a request on the route, and false if none may get it. tried names the replicas that
 // had the request already.
 func (c *Cluster) Pick(p choice.Purpose, on *route.Route, tried []string, u Usual) (*Replica, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	if c.homes < 1 {
+		c.settle(now)
+	}
 	var buf [8]choice.Candidate
 	all := buf[:0]
 	var of [8]*Replica
@@ -174,13 +234,14 @@
 	record := c.history.Record(r.Name(), now)
 	record.Oldest = max(0, record.Oldest-u.Ways[r.distance])
 	return choice.Candidate{
-		Upstream: r.Name(),
-		State:    r.state(now),
-		Distance: r.distance,
-		Load:     r.load,
-		LoadAge:  now.Sub(r.loaded),
-		Penalty:  time.Duration(failureCost * r.failureShare(now) * float64(u.Longest)),
-		Record:   record,
+		Upstream:  r.Name(),
+		State:     r.state(now),
+		Distance:  r.distance,
+		Transient: r.transient,
+		Load:      r.load,
+		LoadAge:   now.Sub(r.loaded),
+		Penalty:   time.Duration(failureCost * r.failureShare(now) * float64(u.Longest)),
+		Record:    record,
 	}
 }
 
@@ -257,7 +318,7 @@
 		if tried == most {
 			break
 		}
-		if c.out[r.registration.FailureDomain] || r.state(now) == choice.StateBarred || now.Sub(r.warmed) < warmEvery {
+		if r.transient || c.out[r.registration.FailureDomain] || r.state(now) == choice.StateBarred || now.Sub(r.warmed) < warmEvery {
 			continue
 		}
 		r.warmed = now
--- a/internal/upstream/cluster/cluster_test.go
+++ b/internal/upstream/cluster/cluster_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -107,3 +108,85 @@
 		require.True(t, c.CanServe(&route.Route{}), "one refused connection may be a restart")
 	})
 }
+
+// TestHomes gives every instance replicas of its own to keep connections to, so that no replica gets more than it takes, at the sizes of
+// fleets whose instances cannot all have one to each.
+func TestHomes(t *testing.T) {
+	const most, used = 64, 0.85
+	for _, c := range []struct{ instances, replicas int }{{4, 3}, {33, 3}, {64, 3}, {99, 3}, {150, 6}, {300, 12}, {2800, 120}} {
+		t.Run(fmt.Sprintf("%d instances, %d replicas", c.instances, c.replicas), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				share := min(1, used*most/float64(c.instances))
+				kept := make(map[string]int)
+				for i := range c.instances {
+					of := New("s", history.New(), allowance.New(0.2, 10, 10*time.Second), WithInstance(fmt.Sprintf("i%d", i)))
+					of.SetHomes(share)
+					for k := range c.replicas {
+						r := registration.Registration{Upstream: fmt.Sprintf("u%d", k), Address: "a", FailureDomain: "d"}
+						distance := choice.Elsewhere
+						if k%3 == i%3 {
+							distance = choice.SameRegion
+						}
+						of.Put(r, "r", distance, func() *link.Link { return link.New(r.Upstream, r.Address, 1) })
+					}
+					_, ok := pick(of, route.Route{})
+					require.True(t, ok)
+					homes := 0
+					for _, r := range of.Replicas() {
+						if !r.transient {
+							homes++
+							kept[r.Name()]++
+						}
+					}
+					require.Equal(t, max(1, int(share*float64(c.replicas))), homes)
+				}
+				for name, n := range kept {
+					require.LessOrEqual(t, n, most, name)
+				}
+			})
+		})
+	}
+}
+
+// TestHomeMoves keeps the connection to another replica while the first one fails, leaves or is taken out.
+func TestHomeMoves(t *testing.T) {
+	for name, bar := range map[string]func(c *Cluster, r *Replica){
+		"leaves": func(c *Cluster, r *Replica) {
+			put(c, registration.Registration{Upstream: r.Name(), Address: r.Name(), FailureDomain: r.registration.FailureDomain, Leaving: true, Sequence: 2})
+		},
+		"fails": func(c *Cluster, r *Replica) {
+			for range failingMisses {
+				c.history.Begin(r.Name(), time.Now())
+				c.history.Failed(r.Name(), time.Now(), time.Now(), true)
+				time.Sleep(time.Millisecond)
+			}
+		},
+		"out": func(c *Cluster, r *Replica) { c.SetOut(map[string]bool{r.registration.FailureDomain: true}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := New("s", history.New(), allowance.New(0.2, 10, 10*time.Second), WithInstance("i"))
+				c.SetHomes(0.4)
+				for _, u := range []string{"a", "b", "c"} {
+					put(c, registration.Registration{Upstream: u, Address: u, FailureDomain: u})
+				}
+				home := func() *Replica {
+					_, ok := pick(c, route.Route{})
+					require.True(t, ok)
+					for _, r := range c.Replicas() {
+						if !r.transient {
+							return r
+						}
+					}
+					return nil
+				}
+				first := home()
+				require.NotNil(t, first)
+				bar(c, first)
+				require.NotNil(t, home())
+				require.NotEqual(t, first.Name(), home().Name())
+				require.True(t, first.transient)
+			})
+		})
+	}
+}
--- a/internal/upstream/cluster/replica.go
+++ b/internal/upstream/cluster/replica.go
@@ -46,6 +46,7 @@
 	failures     float64 // share of failed attempts, as of counted
 	counted      time.Time
 	sent         []time.Time // while cold, within the last second
+	transient    bool        // no connections are kept
 }
 
 // Name is the upstream's name.
@@ -57,6 +58,13 @@
 // Link holds the connections.
 func (r *Replica) Link() *link.Link { return r.link }
 
+func (r *Replica) setTransient(transient bool) {
+	if r.transient != transient {
+		r.transient = transient
+		r.link.SetTransient(transient)
+	}
+}
+
 func (r *Replica) isCold(now time.Time) bool { return now.Before(r.coldUntil) }
 
 func (r *Replica) state(now time.Time) choice.State {
--- a/internal/upstream/link/link.go
+++ b/internal/upstream/link/link.go
@@ -107,6 +107,9 @@
 // SetShare changes the highest number of connections.
 func (l *Link) SetShare(connections int) { l.pool.SetShare(connections) }
 
+// SetTransient closes each connection as soon as no request needs it, or keeps them again.
+func (l *Link) SetTransient(transient bool) { l.pool.SetTransient(transient) }
+
 // SetLeaving refuses requests while new work is forbidden; those in flight finish.
 func (l *Link) SetLeaving(leaving bool) { l.pool.SetLeaving(leaving) }
 
--- a/internal/upstream/pool/pool.go
+++ b/internal/upstream/pool/pool.go
@@ -36,6 +36,7 @@
 	leaving    bool
 	leavingTil time.Time
 	closed     bool
+	transient  bool // connections are closed once they are unused
 	opening    int
 	conns      map[*connection.Connection]*state
 	idle       []*connection.Connection // the most recently used is last
@@ -147,7 +148,7 @@
 		return // the upstream has closed it already
 	}
 	s.busy = false
-	if healthy && s.generation == p.generation && !p.closed && len(p.conns) <= p.share && !c.IsClosed() {
+	if healthy && s.generation == p.generation && !p.closed && !p.isIdleUnwanted() && len(p.conns) <= p.share && !c.IsClosed() {
 		s.idleSince = time.Now()
 		p.idle = append(p.idle, c)
 	} else {
@@ -198,6 +199,19 @@
 	p.fill()
 }
 
+// SetTransient closes each connection as soon as no request needs it, or keeps them again.
+func (p *Pool) SetTransient(transient bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.transient = transient
+	if transient {
+		p.closeIdle()
+	}
+}
+
+// isIdleUnwanted tells whether a connection that becomes idle is of no use.
+func (p *Pool) isIdleUnwanted() bool { return p.transient && len(p.waiters) == 0 }
+
 // Move changes the address. Requests in flight finish on the connections to the former one,
 // which count until they are closed.
 func (p *Pool) Move(address string) {
