fix(policy): large fleets have extra attempts too

Cause: at 300 instances the part of each is 0.6 of an attempt in a window, which was rounded down: no attempt was ever repeated or hedged. Change: where the part is less than one attempt, an instance has one with the probability of its part of the slack. TestManyInstances presses with 300 and 2,800 instances: never above the bound, and more than half of the slack used; before, none.

--- a/internal/policy/allowance/allowance.go
+++ b/internal/policy/allowance/allowance.go
@@ -2,10 +2,12 @@
 //
 // All instances together may make a ratio of the requests and a slack in any window. The ratio adds up over the
 // instances by itself; of the slack each takes its part. So the bound holds without agreement, as long as no instance
-// assumes fewer instances than there are.
+// assumes fewer instances than there are. Where the part of an instance is less than one attempt, it has one with the probability of
+// its part of the slack, so that a large fleet still has as many together.
 package allowance
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -17,6 +19,10 @@
 // reserveShare of the allowance is kept from attempts that only make a slow request faster.
 const reserveShare = 0.25
 
+// drawEvery windows an instance draws anew whether it has an attempt. Two draws within one window add up to more than the part, so
+// they are rare.
+const drawEvery = 10
+
 // Allowance counts requests and extra attempts of one service. It is safe for concurrent use.
 type Allowance struct {
 	window time.Duration
@@ -26,6 +32,8 @@
 	ratio float64
 	slack float64
 	slots [steps + 2]slot
+	draw  float64 // below the part of an attempt that the instance has it
+	drawn time.Time
 }
 
 type slot struct {
@@ -36,7 +44,8 @@
 
 // New makes an allowance that begins with nothing. slack is the part of this instance.
 func New(ratio, slack float64, window time.Duration) *Allowance {
-	return &Allowance{ratio: ratio, slack: slack, window: window, begun: time.Now()}
+	now := time.Now()
+	return &Allowance{ratio: ratio, slack: slack, window: window, begun: now, draw: rand.Float64(), drawn: now.Add(-rand.N(drawEvery * window))}
 }
 
 // SetBounds changes the ratio, and the part of the slack that this instance may use.
@@ -57,11 +66,7 @@
 func (a *Allowance) Spend() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if left, _ := a.left(); left < 1 {
-		return false
-	}
-	a.slot(a.number()).extra++
-	return true
+	return a.spend(0)
 }
 
 // SpendSpare counts one extra attempt if it is allowed and leaves a part of what the window allows to others, for which
@@ -69,12 +74,32 @@
 func (a *Allowance) SpendSpare() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.spend(reserveShare)
+}
+
+// spend counts one extra attempt if that leaves a share of what is allowed.
+func (a *Allowance) spend(leave float64) bool {
 	left, allowed := a.left()
-	if left < 1+reserveShare*allowed {
-		return false
+	isAllowed := left >= 1+leave*allowed
+	if allowed < 1 {
+		// Only the slack counts here: what the ratio gives changes all the time, and the highest value would win in the end.
+		isAllowed = left == allowed && a.lot() < (1-leave)*a.slack*a.grown()
+	}
+	if isAllowed {
+		a.slot(a.number()).extra++
+	}
+	return isAllowed
+}
+
+// grown is the part of the slack that a process may use that does not know what it used before its start.
+func (a *Allowance) grown() float64 { return min(1, float64(time.Since(a.begun))/float64(a.window)) }
+
+// lot is the draw of the present windows.
+func (a *Allowance) lot() float64 {
+	if now := time.Now(); now.Sub(a.drawn) >= drawEvery*a.window {
+		a.draw, a.drawn = rand.Float64(), now
 	}
-	a.slot(a.number()).extra++
-	return true
+	return a.draw
 }
 
 // Left is the number of extra attempts that are allowed now.
@@ -99,9 +124,7 @@
 			extra += s.extra
 		}
 	}
-	// A process that has just started does not know what it used before, so its slack grows from nothing.
-	grown := min(1, float64(time.Since(a.begun))/float64(a.window))
-	allowed = a.ratio*requests + a.slack*grown
+	allowed = a.ratio*requests + a.slack*a.grown()
 	return allowed - extra, allowed
 }
 
--- a/internal/policy/allowance/allowance_test.go
+++ b/internal/policy/allowance/allowance_test.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,3 +74,44 @@
 		require.InDelta(t, 2, a.Left(), 0.01)
 	})
 }
+
+// TestManyInstances lets 300 and 2,800 instances, whose parts are far below one attempt, press all the time and all at once: together they
+// use more than half of their slack and never more than the bound.
+func TestManyInstances(t *testing.T) {
+	const ratio, slack, perSecond, used = 0.2, 208.0, 56.0, 0.85
+	for _, instances := range []int{300, 2800} {
+		synctest.Test(t, func(t *testing.T) {
+			all := make([]*Allowance, instances)
+			for i := range all {
+				all[i] = New(used*ratio, used*slack/float64(instances), window)
+			}
+			const step = 250 * time.Millisecond
+			bound := ratio*perSecond*window.Seconds() + slack
+			var extra []int
+			next := 0.0
+			for n := range 12 * int(window/step) {
+				time.Sleep(step)
+				for next += perSecond * step.Seconds(); next >= 1; next-- {
+					all[rand.IntN(instances)].Request()
+				}
+				count := 0
+				if time.Duration(n)*step >= 2*window { // all at once, and then all the time
+					for _, a := range all {
+						for a.Spend() {
+							count++
+						}
+					}
+				}
+				extra = append(extra, count)
+				sum := 0
+				for _, c := range extra[max(0, len(extra)-int(window/step)):] {
+					sum += c
+				}
+				require.LessOrEqual(t, float64(sum), bound)
+				if time.Duration(n)*step == 4*window {
+					require.Greater(t, float64(sum), used*slack/2)
+				}
+			}
+		})
+	}
+}
