--- a/internal/upstream/cluster/cluster.go
+++ b/internal/upstream/cluster/cluster.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -29,6 +30,8 @@
 	stuckShare = 0.3
 	// failureCost is the number of hedge times that a failed attempt is worth: it takes an extra attempt, which are few.
 	failureCost = 10
+	// settleEvery is how soon connections follow what is known of the replicas, well below the time in which a process starts again.
+	settleEvery = 50 * time.Millisecond
 	// failingMisses in a row take the connections of a replica to another one; a pause is one miss.
 	failingMisses = 3
 	// probeReserve is the number of extra attempts that trials of suspect replicas leave to others.
@@ -47,6 +50,7 @@
 	coldRate int             // requests a second of this instance to a cold replica; negative for no bound
 	instance string
 	homes    float64 // share of the replicas to which this instance keeps connections
+	settled  time.Time
 }
 
 // Option changes how a cluster is made.
@@ -71,7 +75,10 @@
 func (c *Cluster) SetOut(out map[string]bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.out = out
+	if !maps.Equal(c.out, out) {
+		c.out = out
+		c.settle(time.Now())
+	}
 }
 
 // SetColdRate changes the number of requests a second to a cold replica; negative for no bound.
@@ -100,16 +107,18 @@
 		known := c.replicas[i]
 		known.registration = r
 		known.coldUntil = now.Add(r.Cold)
+		c.settle(now)
 		return
 	}
 	fresh := &Replica{registration: r, region: region, distance: d, link: open(), coldUntil: now.Add(r.Cold), load: -1}
 	if i >= 0 {
 		c.replicas[i].link.Close()
 		c.replicas[i] = fresh
-		return
+	} else {
+		c.replicas = append(c.replicas, fresh)
+		c.prefer()
 	}
-	c.replicas = append(c.replicas, fresh)
-	c.prefer()
+	c.settle(now)
 }
 
 func isSameStart(a, b registration.Registration) bool {
@@ -123,6 +132,7 @@
 	if i := c.index(upstream); i >= 0 {
 		c.replicas[i].link.Close()
 		c.replicas = slices.Delete(c.replicas, i, i+1)
+		c.settle(time.Now())
 	}
 }
 
@@ -156,16 +166,20 @@
 
 // settle keeps connections to the first replicas that can be used, as many as are this instance's part.
 func (c *Cluster) settle(now time.Time) {
-	left := max(1, int(c.homes*float64(len(c.replicas))))
-	if left >= len(c.replicas) {
-		left = len(c.replicas)
+	c.settled = now
+	if c.homes >= 1 {
+		for _, r := range c.replicas {
+			r.setTransient(false)
+		}
+		return
 	}
+	left := max(1, int(c.homes*float64(len(c.replicas))))
 	for _, r := range c.replicas {
 		isHome := left > 0 && c.isUsable(r, now)
 		if isHome {
 			left--
 		}
-		r.setTransient(!isHome && c.homes < 1)
+		r.setTransient(!isHome)
 	}
 }
 
@@ -181,7 +195,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if c.homes < 1 {
+	if c.homes < 1 && now.Sub(c.settled) >= settleEvery {
 		c.settle(now)
 	}
 	var buf [8]choice.Candidate
--- a/internal/upstream/cluster/cluster_test.go
+++ b/internal/upstream/cluster/cluster_test.go
@@ -183,6 +183,7 @@
 				first := home()
 				require.NotNil(t, first)
 				bar(c, first)
+				time.Sleep(settleEvery)
 				require.NotNil(t, home())
 				require.NotEqual(t, first.Name(), home().Name())
 				require.True(t, first.transient)
