--- a/internal/upstream/catalog/catalog.go
+++ b/internal/upstream/catalog/catalog.go
@@ -76,7 +76,7 @@
 	known, ok := c.clusters[service]
 	if !ok {
 		known = cluster.New(service, c.history, allowance.New(c.ratio(), c.slack(), c.settings.ExtraWindow), cluster.WithInstance(c.settings.Instance))
-		known.SetHomes(c.homes(service))
+		known.SetKeptShare(c.keptShare(service))
 		known.SetOut(c.view.Out)
 		known.SetColdRate(c.coldRate(service))
 		c.clusters[service] = known
@@ -126,7 +126,7 @@
 	for name, known := range c.clusters {
 		known.SetBounds(c.ratio(), c.slack())
 		known.SetColdRate(c.coldRate(name))
-		known.SetHomes(c.homes(name))
+		known.SetKeptShare(c.keptShare(name))
 		for _, r := range known.Replicas() {
 			r.Link().SetShare(c.connections(name))
 		}
@@ -148,9 +148,9 @@
 	return max(1, int(part))
 }
 
-// homes is the share of the upstreams of the service to which this instance keeps connections: with more instances than an upstream
+// keptShare is the share of the upstreams of the service to which this instance keeps connections: with more instances than an upstream
 // takes connections, each keeps them to some.
-func (c *Catalog) homes(service string) float64 {
+func (c *Catalog) keptShare(service string) float64 {
 	part, ok := c.part(service)
 	if !ok {
 		return 1
--- a/internal/upstream/cluster/cluster.go
+++ b/internal/upstream/cluster/cluster.go
@@ -44,13 +44,13 @@
 	history *history.History
 	*allowance.Allowance
 
-	mu       sync.Mutex
-	replicas []*Replica
-	out      map[string]bool // failure domains that get no work
-	coldRate int             // requests a second of this instance to a cold replica; negative for no bound
-	instance string
-	homes    float64 // share of the replicas to which this instance keeps connections
-	settled  time.Time
+	mu        sync.Mutex
+	replicas  []*Replica
+	out       map[string]bool // failure domains that get no work
+	coldRate  int             // requests a second of this instance to a cold replica; negative for no bound
+	instance  string
+	keptShare float64 // share of the replicas to which this instance keeps connections
+	settled   time.Time
 }
 
 // Option changes how a cluster is made.
@@ -61,7 +61,7 @@
 
 // New makes an empty cluster. Its extra attempts draw on a.
 func New(name string, h *history.History, a *allowance.Allowance, options ...Option) *Cluster {
-	c := &Cluster{name: name, history: h, Allowance: a, coldRate: -1, homes: 1}
+	c := &Cluster{name: name, history: h, Allowance: a, coldRate: -1, keptShare: 1}
 	for _, o := range options {
 		o(c)
 	}
@@ -88,12 +88,12 @@
 	c.coldRate = perSecond
 }
 
-// SetHomes changes the share of the replicas to which this instance keeps connections, at least one. Attempts on the others open one
+// SetKeptShare changes the share of the replicas to which this instance keeps connections, at least one. Attempts on the others open one
 // each.
-func (c *Cluster) SetHomes(share float64) {
+func (c *Cluster) SetKeptShare(share float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.homes = share
+	c.keptShare = share
 	c.settle(time.Now())
 }
 
@@ -167,19 +167,19 @@
 // settle keeps connections to the first replicas that can be used, as many as are this instance's part.
 func (c *Cluster) settle(now time.Time) {
 	c.settled = now
-	if c.homes >= 1 {
+	if c.keptShare >= 1 {
 		for _, r := range c.replicas {
 			r.setTransient(false)
 		}
 		return
 	}
-	left := max(1, int(c.homes*float64(len(c.replicas))))
+	left := max(1, int(c.keptShare*float64(len(c.replicas))))
 	for _, r := range c.replicas {
-		isHome := left > 0 && c.isUsable(r, now)
-		if isHome {
+		isKept := left > 0 && c.isUsable(r, now)
+		if isKept {
 			left--
 		}
-		r.setTransient(!isHome)
+		r.setTransient(!isKept)
 	}
 }
 
@@ -195,7 +195,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if c.homes < 1 && now.Sub(c.settled) >= settleEvery {
+	if c.keptShare < 1 && now.Sub(c.settled) >= settleEvery {
 		c.settle(now)
 	}
 	var buf [8]choice.Candidate
--- a/internal/upstream/cluster/cluster_test.go
+++ b/internal/upstream/cluster/cluster_test.go
@@ -109,9 +109,9 @@
 	})
 }
 
-// TestHomes gives every instance replicas of its own to keep connections to, so that no replica gets more than it takes, at the sizes of
+// TestKeptConnections gives every instance replicas of its own to keep connections to, so that no replica gets more than it takes, at the sizes of
 // fleets whose instances cannot all have one to each.
-func TestHomes(t *testing.T) {
+func TestKeptConnections(t *testing.T) {
 	const most, used = 64, 0.85
 	for _, c := range []struct{ instances, replicas int }{{4, 3}, {33, 3}, {64, 3}, {99, 3}, {150, 6}, {300, 12}, {2800, 120}} {
 		t.Run(fmt.Sprintf("%d instances, %d replicas", c.instances, c.replicas), func(t *testing.T) {
@@ -120,7 +120,7 @@
 				kept := make(map[string]int)
 				for i := range c.instances {
 					of := New("s", history.New(), allowance.New(0.2, 10, 10*time.Second), WithInstance(fmt.Sprintf("i%d", i)))
-					of.SetHomes(share)
+					of.SetKeptShare(share)
 					for k := range c.replicas {
 						r := registration.Registration{Upstream: fmt.Sprintf("u%d", k), Address: "a", FailureDomain: "d"}
 						distance := choice.Elsewhere
@@ -131,14 +131,14 @@
 					}
 					_, ok := pick(of, route.Route{})
 					require.True(t, ok)
-					homes := 0
+					n := 0
 					for _, r := range of.Replicas() {
 						if !r.transient {
-							homes++
+							n++
 							kept[r.Name()]++
 						}
 					}
-					require.Equal(t, max(1, int(share*float64(c.replicas))), homes)
+					require.Equal(t, max(1, int(share*float64(c.replicas))), n)
 				}
 				for name, n := range kept {
 					require.LessOrEqual(t, n, most, name)
@@ -148,8 +148,8 @@
 	}
 }
 
-// TestHomeMoves keeps the connection to another replica while the first one fails, leaves or is taken out.
-func TestHomeMoves(t *testing.T) {
+// TestKeptConnectionsMove keeps the connection to another replica while the first one fails, leaves or is taken out.
+func TestKeptConnectionsMove(t *testing.T) {
 	for name, bar := range map[string]func(c *Cluster, r *Replica){
 		"leaves": func(c *Cluster, r *Replica) {
 			put(c, registration.Registration{Upstream: r.Name(), Address: r.Name(), FailureDomain: r.registration.FailureDomain, Leaving: true, Sequence: 2})
@@ -166,11 +166,11 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := New("s", history.New(), allowance.New(0.2, 10, 10*time.Second), WithInstance("i"))
-				c.SetHomes(0.4)
+				c.SetKeptShare(0.4)
 				for _, u := range []string{"a", "b", "c"} {
 					put(c, registration.Registration{Upstream: u, Address: u, FailureDomain: u})
 				}
-				home := func() *Replica {
+				kept := func() *Replica {
 					_, ok := pick(c, route.Route{})
 					require.True(t, ok)
 					for _, r := range c.Replicas() {
@@ -180,12 +180,12 @@
 					}
 					return nil
 				}
-				first := home()
+				first := kept()
 				require.NotNil(t, first)
 				bar(c, first)
 				time.Sleep(settleEvery)
-				require.NotNil(t, home())
-				require.NotEqual(t, first.Name(), home().Name())
+				require.NotNil(t, kept())
+				require.NotEqual(t, first.Name(), kept().Name())
 				require.True(t, first.transient)
 			})
 		})
