fix(forward): callers with little time get whole answers too; the soak takes no failure domain out twice

What a caller's time lacks of the longest was taken as spent on earlier attempts, so that the objective of a caller with little time had passed before it began, and it got the least share at once. Change: where nothing is left of the objective, the answer is late in any case or the caller just has little time, and a whole one is worth more. The finding itself, a failure domain that is out getting work, was the soak's: two outs of one domain overlapped, and the first one's end took both back.

--- a/internal/forward/pacing/pacing.go
+++ b/internal/forward/pacing/pacing.go
@@ -58,7 +58,8 @@
 }
 
 // Plan paces one request. The objective counts from the caller's first attempt: what the caller's time lacks of the longest
-// that callers of the route state was spent on earlier ones.
+// that callers of the route state was spent on earlier ones. If it has passed, or if the caller just has little time, a whole answer is
+// worth more than an early one.
 func (p *Pacer) Plan(q request.Request, r *route.Route) Pace {
 	h := p.history(r.Name)
 	p.mu.Lock()
@@ -67,6 +68,9 @@
 	if q.Left > 0 {
 		spent = h.longest - q.Left
 	}
+	if spent >= r.Objective-wayBack {
+		spent = 0
+	}
 	p.mu.Unlock()
 	longest := defaultTimeout
 	for _, d := range []time.Duration{q.Left, r.Timeout} {
--- a/internal/soak/fault/fault.go
+++ b/internal/soak/fault/fault.go
@@ -292,10 +292,7 @@
 }
 
 func (f *Faults) out(r *rand.Rand) {
-	domain := site.Domains[r.IntN(len(site.Domains))]
-	f.site.SetOut(domain, true)
-	time.Sleep(outFor)
-	f.site.SetOut(domain, false)
+	f.site.TakeOutFor(site.Domains[r.IntN(len(site.Domains))], outFor)
 }
 
 // path disturbs the connections through a proxy in one of several ways.
--- a/internal/soak/site/site.go
+++ b/internal/soak/site/site.go
@@ -92,6 +92,7 @@
 	random *rand.Rand
 	ups    []*Upstream
 	number int // of upstreams so far
+	out    map[string]bool
 	// revision is that of the newest configuration, and set that of the shards in it.
 	revision int64
 	set      int
@@ -108,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	site := &Site{Store: s, Record: r, server: &http.Server{Handler: s, ReadHeaderTimeout: Timeout}, random: random}
+	site := &Site{Store: s, Record: r, server: &http.Server{Handler: s, ReadHeaderTimeout: Timeout}, random: random, out: make(map[string]bool)}
 	go func() { _ = site.server.Serve(l) }() // ends with Close
 	for _, name := range site.services() {
 		for _, in := range site.places(name) {
@@ -222,15 +223,23 @@
 	return fmt.Sprintf("%s%d/", ExtraPath, s.extra)
 }
 
-// SetOut takes a failure domain out or back.
-func (s *Site) SetOut(domain string, out bool) {
-	if !out {
-		s.Record.SetOut(domain, false)
-	}
-	s.TakeOut(domain, out)
-	if out {
-		s.Record.SetOut(domain, true)
+// TakeOutFor takes a failure domain out for a while. It does nothing while the domain is out.
+func (s *Site) TakeOutFor(domain string, d time.Duration) {
+	s.mu.Lock()
+	isOut := s.out[domain]
+	s.out[domain] = true
+	s.mu.Unlock()
+	if isOut {
+		return
 	}
+	s.TakeOut(domain, true)
+	s.SetOut(domain, true)
+	time.Sleep(d)
+	s.SetOut(domain, false)
+	s.TakeOut(domain, false)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.out, domain)
 }
 
 // SetStoreFault disturbs the store, or no longer where fault is nil.
