fix(upstream): an upstream that refused connections counts as cold until its start would be known

Instances go on by its former registration until they have read the new one, about a second later. Change: where a service states what a cold upstream bears, one that refused a connection gets no more than that for 3 s, unless a new registration says more. TestDoubt fails without it. One that starts again between two requests, without a refused connection, is still found a second late.

--- a/internal/soak/fault/fault.go
+++ b/internal/soak/fault/fault.go
@@ -277,9 +277,7 @@
 		f.must(i.Reload(r.Uint64()))
 		return
 	}
-	f.must(i.Spoil())
-	time.Sleep(restartTime)
-	f.must(i.Mend())
+	f.must(i.Spoil(restartTime))
 }
 
 // leave lets an upstream leave, while another one takes its place.
@@ -310,13 +308,13 @@
 		case 4:
 			p.Hold(proxy.Back, true)
 		default:
-			p.SetDown(true)
+			f.must(p.SetDown(true))
 		}
 	}, func() {
 		p.SetDelay(0)
 		p.Hold(proxy.Forth, false)
 		p.Hold(proxy.Back, false)
-		p.SetDown(false)
+		f.must(p.SetDown(false))
 	})
 }
 
@@ -351,7 +349,7 @@
 		}
 		own := rand.New(rand.NewPCG(r.Uint64(), 5))
 		all.Go(func() {
-			f.disturb(i.Name, own, func() { i.StorePath.SetDown(true) }, func() { i.StorePath.SetDown(false) })
+			f.disturb(i.Name, own, func() { f.must(i.StorePath.SetDown(true)) }, func() { f.must(i.StorePath.SetDown(false)) })
 		})
 	}
 	f.site.Configure()
--- a/internal/soak/site/instance.go
+++ b/internal/soak/site/instance.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -40,6 +41,7 @@
 	file     string
 	settings deployment.Settings
 	log      string
+	mu       sync.Mutex // held while the file cannot be used
 	inTurn   atomic.Bool
 	isClosed atomic.Bool
 }
@@ -108,6 +110,8 @@
 
 // Reload changes the settings file in a way that does not matter and tells the process.
 func (i *Instance) Reload(seed uint64) error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	d := i.settings
 	d.MemoryBytes += int64(seed%16) << 20
 	if err := write(i.file, i.site.Settings(d)); err != nil {
@@ -117,17 +121,25 @@
 	return nil
 }
 
-// Spoil writes a settings file that cannot be used and tells the process, which keeps its settings.
-func (i *Instance) Spoil() error {
+// Spoil writes a settings file that cannot be used for a while and tells the process, which keeps its settings. No process starts
+// meanwhile, since it could not.
+func (i *Instance) Spoil(d time.Duration) error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	if err := write(i.file, []byte("nodeName = ")); err != nil {
 		return err
 	}
 	i.Signal(syscall.SIGHUP)
-	return nil
+	time.Sleep(d)
+	return write(i.file, i.site.Settings(i.settings))
 }
 
-// Mend writes the settings file as it was.
-func (i *Instance) Mend() error { return write(i.file, i.site.Settings(i.settings)) }
+// Start starts the process.
+func (i *Instance) Start() error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.Process.Start()
+}
 
 func (i *Instance) close() {
 	i.isClosed.Store(true)
--- a/internal/soak/site/upstream.go
+++ b/internal/soak/site/upstream.go
@@ -112,7 +112,7 @@
 	if at < 0 {
 		return false
 	}
-	u.Proxy.SetDown(true)
+	_ = u.Proxy.SetDown(true) // only the way back can fail
 	u.close()
 	u.site.Unregister(u.ID())
 	return true
@@ -124,7 +124,9 @@
 		return nil
 	}
 	time.Sleep(after)
-	u.Proxy.SetDown(false)
+	if err := u.Proxy.SetDown(false); err != nil {
+		return err
+	}
 	_, err := u.site.add(u.ID(), u.Service(), u.Domain(), u.Proxy, coldTime)
 	return err
 }
@@ -135,7 +137,9 @@
 		return nil
 	}
 	time.Sleep(reuseAfter)
-	u.Proxy.SetDown(false)
+	if err := u.Proxy.SetDown(false); err != nil {
+		return err
+	}
 	u.site.mu.Lock()
 	u.site.number++
 	name := fmt.Sprintf("u-%d", u.site.number)
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -25,33 +25,36 @@
 	Back
 )
 
+// host is an address of the loopback range from which no connection is opened, so that a port that is given up for a while is not taken.
+const host = "127.0.2.1"
+
 // Proxy joins connections to its address with a target. It is safe for concurrent use.
 type Proxy struct {
-	listener net.Listener
+	address string
 
-	mu     sync.Mutex
-	target string
-	conns  map[*conn]bool
-	delay  time.Duration
-	down   bool
-	held   [2]bool
-	change chan struct{} // closed when held changes
-	closed bool
+	mu       sync.Mutex
+	listener net.Listener // nil while it refuses connections
+	target   string
+	conns    map[*conn]bool
+	delay    time.Duration
+	held     [2]bool
+	change   chan struct{} // closed when held changes
+	closed   bool
 }
 
 // New opens a proxy on a free port.
 func New(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, target: target, conns: make(map[*conn]bool), change: make(chan struct{})}
-	go p.accept()
+	p := &Proxy{address: l.Addr().String(), listener: l, target: target, conns: make(map[*conn]bool), change: make(chan struct{})}
+	go p.accept(l)
 	return p, nil
 }
 
 // Address is where the proxy listens.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
 
 // SetTarget joins new connections with another address.
 func (p *Proxy) SetTarget(address string) {
@@ -67,14 +70,27 @@
 	p.delay = d
 }
 
-// SetDown resets all connections and each new one, or lets them through again.
-func (p *Proxy) SetDown(down bool) {
+// SetDown resets all connections and refuses new ones, or accepts them again.
+func (p *Proxy) SetDown(down bool) error {
 	p.mu.Lock()
-	p.down = down
-	p.mu.Unlock()
-	if down {
-		p.Reset()
+	defer p.mu.Unlock()
+	switch {
+	case p.closed:
+	case down && p.listener != nil:
+		_ = p.listener.Close()
+		p.listener = nil
+		for c := range p.conns {
+			c.reset()
+		}
+	case !down && p.listener == nil:
+		l, err := net.Listen("tcp", p.address)
+		if err != nil {
+			return err
+		}
+		p.listener = l
+		go p.accept(l)
 	}
+	return nil
 }
 
 // Hold keeps the bytes of one direction back until it is called with false, in present and new connections.
@@ -103,11 +119,14 @@
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() error {
 	p.mu.Lock()
-	p.closed = true
+	l := p.listener
+	p.closed, p.listener = true, nil
 	p.mu.Unlock()
-	err := p.listener.Close()
 	p.Reset()
-	return err
+	if l == nil {
+		return nil
+	}
+	return l.Close()
 }
 
 func (p *Proxy) all() []*conn {
@@ -120,9 +139,9 @@
 	return all
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		near, err := p.listener.Accept()
+		near, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -157,7 +176,7 @@
 func (p *Proxy) add(c *conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.down || p.closed {
+	if p.listener == nil {
 		return false
 	}
 	p.conns[c] = true
--- a/internal/standin/proxy/proxy_test.go
+++ b/internal/standin/proxy/proxy_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -110,10 +111,11 @@
 	p := newProxy(t, echo(t))
 	c := dial(t, p)
 	require.NoError(t, exchange(c, patience))
-	p.SetDown(true)
+	require.NoError(t, p.SetDown(true))
 	require.Error(t, exchange(c, patience))
-	require.Error(t, exchange(dial(t, p), patience))
-	p.SetDown(false)
+	_, err := net.Dial("tcp", p.Address())
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+	require.NoError(t, p.SetDown(false))
 	require.NoError(t, exchange(dial(t, p), patience))
 }
 
--- a/internal/upstream/cluster/cluster.go
+++ b/internal/upstream/cluster/cluster.go
@@ -295,6 +295,9 @@
 	switch e {
 	case Unreached:
 		r.refused(now)
+		if c.coldRate >= 0 {
+			r.doubtUntil = now.Add(doubtTime)
+		}
 	case Answered:
 		r.unreached = 0
 		r.count(false, now)
--- a/internal/upstream/cluster/cluster_test.go
+++ b/internal/upstream/cluster/cluster_test.go
@@ -191,3 +191,35 @@
 		})
 	}
 }
+
+// TestDoubt sends no more than a cold upstream bears to one that refused connections, until its start would be known.
+func TestDoubt(t *testing.T) {
+	const rate = 2
+	count := func(c *Cluster, d time.Duration) int {
+		n := 0
+		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			if _, ok := pick(c, route.Route{}); ok {
+				n++
+			}
+		}
+		return n
+	}
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster("a")
+		c.Ended(c.Replicas()[0], Unreached)
+		time.Sleep(firstBackoff)
+		require.Equal(t, 100, count(c, time.Second), "no bound is stated")
+
+		c.SetColdRate(rate)
+		require.Equal(t, 100, count(c, time.Second), "nothing speaks for a start")
+		c.Ended(c.Replicas()[0], Unreached)
+		c.Ended(c.Replicas()[0], Answered)
+		time.Sleep(maxBackoff)
+		require.LessOrEqual(t, count(c, doubtTime-maxBackoff), rate)
+		require.Equal(t, 100, count(c, time.Second), "it would be known by now")
+
+		c.Ended(c.Replicas()[0], Unreached)
+		put(c, registration.Registration{Upstream: "a", Address: "a", FailureDomain: "d", Incarnation: 7})
+		require.Equal(t, 100, count(c, time.Second), "a start that is known, and warm")
+	})
+}
--- a/internal/upstream/cluster/replica.go
+++ b/internal/upstream/cluster/replica.go
@@ -20,6 +20,9 @@
 	// takes about the first one at least.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 2 * time.Second
+	// doubtTime is how long an upstream that refused connections counts as cold unless its registration tells more: a second until it
+	// has registered again, and two until every instance has read that.
+	doubtTime = 3 * time.Second
 	// downAfter refused connections in a row an upstream counts as down.
 	downAfter = 2
 	// failureWeight is that of the newest attempt in the share of failed ones, which halves in failureHalfLife without
@@ -43,7 +46,8 @@
 	warmed       time.Time // when a connection was last opened ahead
 	unreached    int       // connections that were refused in a row
 	backoffUntil time.Time
-	failures     float64 // share of failed attempts, as of counted
+	doubtUntil   time.Time // it refused a connection, so that it may have started again, cold
+	failures     float64   // share of failed attempts, as of counted
 	counted      time.Time
 	sent         []time.Time // while cold, within the last second
 	transient    bool        // no connections are kept
@@ -65,7 +69,9 @@
 	}
 }
 
-func (r *Replica) isCold(now time.Time) bool { return now.Before(r.coldUntil) }
+func (r *Replica) isCold(now time.Time) bool {
+	return now.Before(r.coldUntil) || now.Before(r.doubtUntil)
+}
 
 func (r *Replica) state(now time.Time) choice.State {
 	switch {
