fix(forward): refuse at once what cold upstreams do not bear

Each request took from each of 20 services what was left of its rate, so that few got all that they need; the others waited for their deadline. Change: a request is begun only if enough services have room now, and a cold replica without room is passed over for one that has it.

--- a/internal/forward/runner/execution.go
+++ b/internal/forward/runner/execution.go
@@ -95,11 +95,12 @@
 	}
 }
 
-// able is the number of legs that can begin now or soon.
+// able is the number of legs that can begin. Requests that would wait for cold upstreams are refused: they would take from each other
+// what few of them can have whole.
 func (x *execution) able() int {
 	able := 0
 	for _, l := range x.legs {
-		if l.cluster.CanServe(x.route) {
+		if l.cluster.CanBegin(x.route) {
 			able++
 		}
 	}
--- a/internal/forward/runner/load_test.go
+++ b/internal/forward/runner/load_test.go
@@ -127,14 +127,22 @@
 	})
 }
 
-// TestColdHerd starts all replicas cold at once: none gets more requests in a second than it bears (cold herd).
+// TestColdHerd starts all replicas cold at once: none gets more requests in a second than it bears, and the requests that they bear are
+// served (cold herd). Where each request takes what it gets of the rates, few get all that they need.
 func TestColdHerd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := lookup()
 		s.ColdRate, s.Cold = 4, 5*time.Second
 		r := newRig(t, s)
 		defer r.stop()
-		r.Load(40, 4*time.Second, 600*time.Millisecond, r.tier.Run)
+		const perSecond = 40
+		outcomes := r.Load(perSecond, 4*time.Second, 600*time.Millisecond, r.tier.Run)
+		served := outcome.Count(outcomes, func(o outcome.Outcome) bool { return o.Status == http.StatusOK })
+		bears := float64(s.Replicas) * (s.ColdRate*s.Bounds.ColdFactor + float64(s.Bounds.ColdSlack)) / perSecond
+		require.Greater(t, float64(served), bears/2*float64(len(outcomes)), "at least half of what the upstreams bear is served")
+		for _, o := range outcomes {
+			require.True(t, o.Status == http.StatusOK || o.Took <= s.Route.Objective, "what cannot be served is refused soon")
+		}
 		most := int(s.ColdRate*s.Bounds.ColdFactor) + s.Bounds.ColdSlack
 		for _, p := range r.All() {
 			arrived := p.Arrived()
--- a/internal/upstream/cluster/cluster.go
+++ b/internal/upstream/cluster/cluster.go
@@ -203,7 +203,7 @@
 	var of [8]*Replica
 	replicas := of[:0]
 	for _, r := range c.replicas {
-		if !c.permits(r, on) || slices.Contains(tried, r.Name()) {
+		if !c.permits(r, on) || !c.hasRoom(r, now) || slices.Contains(tried, r.Name()) {
 			continue
 		}
 		all = append(all, c.candidate(r, u, now))
@@ -217,8 +217,8 @@
 		return nil, false
 	}
 	r := replicas[i]
-	if r.isCold(now) && c.coldRate >= 0 && !r.mayWarm(now, c.coldRate) {
-		return nil, false
+	if c.coldRate >= 0 && r.isCold(now) {
+		r.sent = append(r.sent, now)
 	}
 	return r, true
 }
@@ -348,13 +348,25 @@
 
 // CanServe tells whether some replica may take a request of the route now or soon.
 func (c *Cluster) CanServe(on *route.Route) bool {
+	return c.has(on, func(*Replica, time.Time) bool { return true })
+}
+
+// CanBegin tells whether some replica may take a request of the route without waiting until it is warmer.
+func (c *Cluster) CanBegin(on *route.Route) bool {
+	return c.has(on, c.hasRoom)
+}
+
+// hasRoom tells whether a replica, if it is cold, bears one more request now.
+func (c *Cluster) hasRoom(r *Replica, now time.Time) bool {
+	return c.coldRate < 0 || !r.isCold(now) || r.mayWarm(now, c.coldRate)
+}
+
+// has tells whether there is a replica that may take requests of the route and for which is holds.
+func (c *Cluster) has(on *route.Route, is func(r *Replica, now time.Time) bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	for _, r := range c.replicas {
-		if c.permits(r, on) && r.state(now) != choice.StateBarred && !r.isDown(now) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(c.replicas, func(r *Replica) bool {
+		return c.permits(r, on) && r.state(now) != choice.StateBarred && !r.isDown(now) && is(r, now)
+	})
 }
--- a/internal/upstream/cluster/replica.go
+++ b/internal/upstream/cluster/replica.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"crocuswing/internal/published/registration"
@@ -91,20 +92,10 @@
 	r.shedUntil = now.Add(wait + rand.N(wait))
 }
 
-// mayWarm tells whether a cold replica may get one more request within its rate, and counts it.
+// mayWarm tells whether a cold replica may get one more request within its rate.
 func (r *Replica) mayWarm(now time.Time, perSecond int) bool {
-	recent := r.sent[:0]
-	for _, at := range r.sent {
-		if now.Sub(at) < coldWindow {
-			recent = append(recent, at)
-		}
-	}
-	r.sent = recent
-	if len(r.sent) >= perSecond {
-		return false
-	}
-	r.sent = append(r.sent, now)
-	return true
+	r.sent = slices.DeleteFunc(r.sent, func(at time.Time) bool { return now.Sub(at) >= coldWindow })
+	return len(r.sent) < perSecond
 }
 
 // isDown tells whether the upstream takes no connections.
