--- a/internal/experiment/world/world.go
+++ b/internal/experiment/world/world.go
@@ -175,7 +175,7 @@
 			all := w.Catalog.Cluster(s).Replicas()
 			p := all[rand.IntN(len(all))]
 			out := link.Outgoing{Method: q.Method, Target: q.Target, Host: q.Host, Header: func() http.Header { return w.Header(q, p.Name(), on.Timeout) }}
-			if _, err := p.Link().Forward(ctx, out); err != nil {
+			if got, err := p.Link().Forward(ctx, out); err != nil || got.Status != http.StatusOK {
 				missing.Add(1)
 			}
 		})
