fix(census): an instance that starts at an earlier time of day than its former process is counted

Cause, by reading: incarnations come from the time of day. If that jumps back between two processes of an instance, others take all news of the second as old, drop it after a minute, and use too large shares. Change: an instance that hears of a former process with a later start goes beyond it. TestTimeOfDayJumpsBack fails without it (3 of 4 counted).

--- a/internal/fleet/census/census.go
+++ b/internal/fleet/census/census.go
@@ -244,6 +244,7 @@
 	defer c.mu.Unlock()
 	for _, m := range news.Members {
 		if m.Name == c.self.Name {
+			c.outlive(m)
 			continue
 		}
 		known, ok := c.members[m.Name]
@@ -253,6 +254,15 @@
 	}
 }
 
+// outlive makes this process newer than the news of a former one of its name. The time of day, from which incarnations come, may have
+// jumped back since that one's start.
+func (c *Census) outlive(former Member) {
+	if former.Incarnation > c.self.Incarnation {
+		c.self.Incarnation = former.Incarnation + 1
+		c.log.Info("a former process of this instance started at a later time of day", zap.Int64("incarnation", c.self.Incarnation))
+	}
+}
+
 func (m Member) isNewerThan(o Member) bool {
 	if m.Incarnation != o.Incarnation {
 		return m.Incarnation > o.Incarnation
--- a/internal/fleet/census/census_test.go
+++ b/internal/fleet/census/census_test.go
@@ -104,3 +104,23 @@
 	}
 	require.Len(t, c.news().Members, maxNews+1)
 }
+
+// TestTimeOfDayJumpsBack starts an instance again at an earlier time of day than its former process: it is still counted.
+func TestTimeOfDayJumpsBack(t *testing.T) {
+	all := fleet(4)
+	now := time.Now()
+	for round := range 30 {
+		now = now.Add(every)
+		exchange(all, round, now, none)
+	}
+	former := all[3].self
+	all[3] = New(former.Name, former.Address, []string{"10.0.0.0:1"}, zap.NewNop(), func(int) {})
+	all[3].self.Incarnation = former.Incarnation - time.Minute.Nanoseconds()
+	for round := range 200 {
+		now = now.Add(every)
+		exchange(all, round, now, none)
+		for _, c := range all[:3] {
+			require.Equal(t, 4, c.Size())
+		}
+	}
+}
