--- a/internal/policy/allowance/allowance.go
+++ b/internal/policy/allowance/allowance.go
@@ -110,6 +110,14 @@
 	return left
 }
 
+// HasSpare tells whether n extra attempts are left, or half of what is allowed where that is less.
+func (a *Allowance) HasSpare(n float64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	left, allowed := a.left()
+	return left > 0 && left >= min(n, allowed/2)
+}
+
 // left gives what is left of what is allowed now.
 func (a *Allowance) left() (left, allowed float64) {
 	now := a.number()
--- a/internal/upstream/cluster/cluster.go
+++ b/internal/upstream/cluster/cluster.go
@@ -34,7 +34,7 @@
 	settleEvery = 50 * time.Millisecond
 	// failingMisses in a row take the connections of a replica to another one; a pause is one miss.
 	failingMisses = 3
-	// probeReserve is the number of extra attempts that trials of suspect replicas leave to others.
+	// probeReserve is the number of extra attempts that trials of suspect replicas leave to others, where there are as many.
 	probeReserve = 4
 )
 
@@ -231,7 +231,7 @@
 // trial picks a suspect replica that is due for another try. It gets the first attempt of a request, which a hedge
 // follows at its usual time if the replica is still slow.
 func (c *Cluster) trial(all []choice.Candidate, p choice.Purpose, usual time.Duration, now time.Time) (int, bool) {
-	if p != choice.First || len(all) < 2 || c.Left() < probeReserve {
+	if p != choice.First || len(all) < 2 || !c.HasSpare(probeReserve) {
 		return 0, false
 	}
 	for i := range all {
--- a/internal/upstream/cluster/cluster_test.go
+++ b/internal/upstream/cluster/cluster_test.go
@@ -223,3 +223,25 @@
 		require.Equal(t, 100, count(c, time.Second), "a start that is known, and warm")
 	})
 }
+
+// TestTrials tries a replica again that missed once, also where this instance's part is less than one extra attempt, as in a fleet of 300.
+func TestTrials(t *testing.T) {
+	for _, slack := range []float64{0.6, 12} {
+		synctest.Test(t, func(t *testing.T) {
+			c := New("s", history.New(), allowance.New(0.17, slack, 10*time.Second))
+			for _, name := range []string{"a", "b"} {
+				put(c, registration.Registration{Upstream: name, Address: name, FailureDomain: "d"})
+			}
+			time.Sleep(10 * time.Second)
+			c.history.Begin("a", time.Now())
+			c.history.Failed("a", time.Now(), time.Now(), true)
+			name, ok := pick(c, route.Route{})
+			require.True(t, ok)
+			require.Equal(t, "b", name, "it has just missed")
+			time.Sleep(time.Second)
+			name, ok = pick(c, route.Route{})
+			require.True(t, ok)
+			require.Equal(t, "a", name)
+		})
+	}
+}
