--- a/internal/soak/judge/judge.go
+++ b/internal/soak/judge/judge.go
@@ -75,7 +75,7 @@
 	j.Look(s)
 	j.seen = 0
 	for _, q := range s.Settled {
-		j.once(q) // runs that came after the request was judged
+		j.once(q) // runs may have come after the request was judged
 	}
 	j.extra()
 	j.coldRate()
@@ -219,7 +219,7 @@
 	return true
 }
 
-// find gives the route of a path with the longest prefix.
+// find gives the route of a path with the longest prefix. It does not use the routing table, which is under test.
 func find(v record.Version, path string) (route.Route, bool) {
 	var best route.Route
 	for _, r := range v.Routes {
--- a/internal/soak/site/site.go
+++ b/internal/soak/site/site.go
@@ -63,6 +63,9 @@
 // domains gives the region of each failure domain.
 var domains = map[string]string{"a": "r", "b": "r", "c": "q"}
 
+// placed are the failure domains in which each service has an upstream; the third one has instances only.
+var placed = []string{"a", "b"}
+
 // Domains are the names of the failure domains.
 var Domains = []string{"a", "b", "c"}
 
@@ -112,7 +115,7 @@
 	site := &Site{Store: s, Record: r, server: &http.Server{Handler: s, ReadHeaderTimeout: Timeout}, random: random, out: make(map[string]bool)}
 	go func() { _ = site.server.Serve(l) }() // ends with Close
 	for _, name := range site.services() {
-		for _, in := range site.places(name) {
+		for _, in := range placed {
 			if _, err := site.Add(name, in); err != nil {
 				return nil, errors.Join(err, site.Close())
 			}
@@ -157,9 +160,6 @@
 
 func shard(set, i int) string { return fmt.Sprintf("part-%d-%d", set, i) }
 
-// places are the failure domains of the upstreams of a service.
-func (s *Site) places(string) []string { return []string{"a", "b"} }
-
 // Upstreams gives the present upstreams.
 func (s *Site) Upstreams() []*Upstream {
 	s.mu.Lock()
