--- a/internal/command/soak/soak.go
+++ b/internal/command/soak/soak.go
@@ -81,8 +81,8 @@
 // Execute plays the seeds.
 func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	seeds, err := c.draw()
-	if err == nil && (f.NArg() > 0 || c.instances < 1 || c.instances > 250 || c.callers < 1 || c.rate <= 0 || c.time <= 0) {
-		err = fmt.Errorf("want 1 to 250 instances, callers, rate and time above 0 and no further arguments")
+	if err == nil && (f.NArg() > 0 || c.instances < 1 || c.instances > site.MaxInstances || c.callers < 1 || c.rate <= 0 || c.time <= 0) {
+		err = fmt.Errorf("want 1 to %d instances, callers, rate and time above 0 and no further arguments", site.MaxInstances)
 	}
 	if err != nil {
 		_, _ = fmt.Fprintln(c.stderr, "crocuswing soak:", err)
--- a/internal/soak/fault/fault.go
+++ b/internal/soak/fault/fault.go
@@ -248,7 +248,7 @@
 	i.Signal(syscall.SIGTERM)
 	switch code, ok := i.Wait(site.Bounds.StopTime); {
 	case !ok:
-		if !f.isDisturbed(i.Name) {
+		if !f.site.IsDisturbed(i.Name, time.Now().Add(-site.Bounds.StopTime)) {
 			f.site.Find("a planned stop ends in time", "", i.Name)
 		}
 		i.Signal(syscall.SIGKILL)
@@ -260,17 +260,6 @@
 	f.must(i.Start())
 }
 
-// isDisturbed tells whether the instance was disturbed since its stop began.
-func (f *Faults) isDisturbed(name string) bool {
-	now := time.Now()
-	for _, d := range f.site.Before(now).Disturbances[name] {
-		if d.Overlaps(now.Add(-site.Bounds.StopTime), now) {
-			return true
-		}
-	}
-	return false
-}
-
 // settings changes the settings file, or spoils it for a while.
 func (f *Faults) settings(i *site.Instance, r *rand.Rand) {
 	if r.IntN(2) == 0 {
--- a/internal/soak/record/record.go
+++ b/internal/soak/record/record.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -152,6 +153,14 @@
 // Disturb notes that an instance, or the store, is disturbed, or no longer.
 func (r *Record) Disturb(name string, disturbed bool) { r.mark(r.disturbances, name, disturbed) }
 
+// IsDisturbed tells whether an instance, or the store, was disturbed between a moment and now.
+func (r *Record) IsDisturbed(name string, since time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	return slices.ContainsFunc(r.disturbances[name], func(s Span) bool { return s.Overlaps(since, now) })
+}
+
 // Stop notes that a planned stop begins, or has ended.
 func (r *Record) Stop(instance string, stopping bool) { r.mark(r.stops, instance, stopping) }
 
--- a/internal/soak/site/instance.go
+++ b/internal/soak/site/instance.go
@@ -23,6 +23,9 @@
 	metricsPort = 7380
 )
 
+// MaxInstances is the number of addresses that differ in the last byte, without the lowest and the highest few.
+const MaxInstances = 250
+
 const (
 	readyEvery = 250 * time.Millisecond
 	readyLimit = time.Second
--- a/internal/soak/site/upstream.go
+++ b/internal/soak/site/upstream.go
@@ -32,11 +32,15 @@
 	if err != nil {
 		return nil, err
 	}
+	return s.add(s.name(), service, domain, p, 0)
+}
+
+// name gives the next upstream its name.
+func (s *Site) name() string {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.number++
-	name := fmt.Sprintf("u-%d", s.number)
-	s.mu.Unlock()
-	return s.add(name, service, domain, p, 0)
+	return fmt.Sprintf("u-%d", s.number)
 }
 
 // add starts an upstream behind a proxy. A cold one says so.
@@ -140,11 +144,7 @@
 	if err := u.Proxy.SetDown(false); err != nil {
 		return err
 	}
-	u.site.mu.Lock()
-	u.site.number++
-	name := fmt.Sprintf("u-%d", u.site.number)
-	u.site.mu.Unlock()
-	if _, err := u.site.add(name, by, u.Domain(), u.Proxy, 0); err != nil {
+	if _, err := u.site.add(u.site.name(), by, u.Domain(), u.Proxy, 0); err != nil {
 		return err
 	}
 	_, err := u.site.Add(u.Service(), u.Domain())
