--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -14,10 +14,13 @@
 	"crocuswing/internal/command/demo"
 	"crocuswing/internal/command/load"
 	"crocuswing/internal/command/serve"
+	"crocuswing/internal/command/soak"
 	"crocuswing/internal/command/standin"
 	"crocuswing/internal/command/status"
 	"crocuswing/internal/command/version"
+	"crocuswing/internal/soak/site"
 	platform "crocuswing/platform/command"
+	published "crocuswing/platform/standin"
 
 	"github.com/google/subcommands"
 )
@@ -40,6 +43,7 @@
 		demo.New(stdout, stderr),
 		load.New(stdout, stderr),
 		standin.New(stdout, stderr),
+		soak.New(stdout, stderr, func() site.Store { return published.New() }, "platform"),
 		version.New(stdout),
 	}
 	for _, c := range commands {
--- /dev/null
+++ b/internal/soak/site/site.go
@@ -0,0 +1,254 @@
+// Package site runs instances as processes among stand-ins of the store and the upstreams, with a proxy in each path.
+package site
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"crocuswing/internal/published/registration"
+	"crocuswing/internal/routing/limits"
+	"crocuswing/internal/routing/route"
+	"crocuswing/internal/routing/service"
+	"crocuswing/internal/settings/deployment"
+	"crocuswing/internal/soak/record"
+	"crocuswing/internal/standin/replica"
+)
+
+// Host is that of all routes.
+const Host = "soak.example"
+
+// Paths of the routes that are always there.
+const (
+	SearchPath = "/search/"
+	OrderPath  = "/order/"
+	FilePath   = "/file/"
+	// ExtraPath is the prefix of the paths of routes that come and go.
+	ExtraPath = "/extra-"
+)
+
+// Limits of the routes and services, of the size of the users' smallest deployment.
+const (
+	Timeout     = 1500 * time.Millisecond
+	objective   = 300 * time.Millisecond
+	leastShare  = 0.75
+	topK        = 10
+	MaxAttempts = 2
+	slots       = 3
+	queue       = 12
+	connections = 64
+	coldRate    = 4.0
+	coldTime    = 3 * time.Second
+	// Records is the number of records in a part.
+	Records     = 12
+	work        = 3 * time.Millisecond
+	memoryBytes = 300 << 20
+)
+
+// Bounds are those of the settings of all instances, taken from the users' smallest deployment.
+var Bounds = deployment.Bounds{
+	DrainTime: 3 * time.Second, ApplyTime: 3 * time.Second, StopTime: 6 * time.Second,
+	ExtraRatio: 0.2, ExtraSlack: 58, ExtraWindow: 10 * time.Second, ColdFactor: 1.5, ColdSlack: 5,
+}
+
+// ColdBound is the number of requests a second that a cold upstream may get.
+const ColdBound = coldRate*1.5 + 5
+
+// domains gives the region of each failure domain.
+var domains = map[string]string{"a": "r", "b": "r", "c": "q"}
+
+// Domains are the names of the failure domains.
+var Domains = []string{"a", "b", "c"}
+
+// Store is the stand-in of what the platform publishes, with the platform's spelling.
+type Store interface {
+	http.Handler
+	Register(r registration.Registration)
+	Unregister(upstream string)
+	Configure(revision int64, routes []route.Route, services []service.Service, l limits.Limits)
+	TakeOut(domain string, out bool)
+	Compact()
+	SetFault(fault func(w http.ResponseWriter) bool)
+	// Settings writes the settings file of an instance.
+	Settings(d deployment.Settings) []byte
+	Headers() replica.Names
+	ReadyPath() string
+}
+
+// Site is safe for concurrent use.
+type Site struct {
+	Store
+	*record.Record
+	Instances []*Instance
+
+	server *http.Server
+	mu     sync.Mutex
+	random *rand.Rand
+	ups    []*Upstream
+	number int // of upstreams so far
+	// revision is that of the newest configuration, and set that of the shards in it.
+	revision int64
+	set      int
+	orders   int
+	extra    int64
+}
+
+// sets are the numbers of shards of the two cuts of the index.
+var sets = []int{6, 9}
+
+// New starts store and upstreams and prepares n instances that run the program with their settings in dir.
+func New(s Store, r *record.Record, program []string, dir string, n int, random *rand.Rand) (*Site, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	site := &Site{Store: s, Record: r, server: &http.Server{Handler: s, ReadHeaderTimeout: Timeout}, random: random}
+	go func() { _ = site.server.Serve(l) }() // ends with Close
+	for _, name := range site.services() {
+		for _, in := range site.places(name) {
+			if _, err := site.Add(name, in); err != nil {
+				return nil, errors.Join(err, site.Close())
+			}
+		}
+	}
+	site.Configure()
+	var seeds []string
+	for i := range min(n, 3) {
+		seeds = append(seeds, fmt.Sprintf("%s:%d", ip(i), peerPort))
+	}
+	for i := range n {
+		in, err := newInstance(site, i, seeds, l.Addr().String(), program, dir)
+		if err != nil {
+			return nil, errors.Join(err, site.Close())
+		}
+		site.Instances = append(site.Instances, in)
+	}
+	return site, nil
+}
+
+// Close ends everything that the site started.
+func (s *Site) Close() error {
+	for _, i := range s.Instances {
+		i.close()
+	}
+	for _, u := range s.Upstreams() {
+		u.close()
+	}
+	return s.server.Close()
+}
+
+// services are the names of all services, of both cuts.
+func (s *Site) services() []string {
+	names := []string{"orders-0", "orders-1", "files"}
+	for set, n := range sets {
+		for i := range n {
+			names = append(names, shard(set, i))
+		}
+	}
+	return names
+}
+
+func shard(set, i int) string { return fmt.Sprintf("part-%d-%d", set, i) }
+
+// places are the failure domains of the upstreams of a service.
+func (s *Site) places(string) []string { return []string{"a", "b"} }
+
+// Upstreams gives the present upstreams.
+func (s *Site) Upstreams() []*Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*Upstream(nil), s.ups...)
+}
+
+// Configure writes the next configuration, which changes what the last one said in some way.
+func (s *Site) Configure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.revision > 0 {
+		switch s.random.IntN(3) {
+		case 0:
+			s.orders = 1 - s.orders
+		case 1:
+			s.set = 1 - s.set
+		default:
+			s.extra = s.revision + 1
+		}
+	}
+	s.revision += 1 + s.random.Int64N(4)
+	routes := s.routes()
+	v := record.Version{Revision: s.revision, Sent: time.Now(), Routes: routes}
+	s.Record.Configure(v)
+	s.Store.Configure(s.revision, routes, s.limits(), limits.Limits{HeaderBytes: 16 << 10, BodyBytes: 256 << 10, HeaderTime: 3 * time.Second, IdleTime: 15 * time.Second})
+	v.Acked = time.Now()
+	s.Record.Configure(v)
+}
+
+func (s *Site) routes() []route.Route {
+	search := route.Route{Name: "search", Prefix: SearchPath, TopK: topK, LeastShare: leastShare}
+	for i := range sets[s.set] {
+		search.Shards = append(search.Shards, shard(s.set, i))
+	}
+	orders := fmt.Sprintf("orders-%d", s.orders)
+	routes := []route.Route{
+		search,
+		{Name: "order", Prefix: OrderPath, Once: true, Destinations: []route.Destination{{Service: orders, Weight: 1}}},
+		{Name: "file", Prefix: FilePath, Destinations: []route.Destination{{Service: "files", Weight: 1}}},
+		{Name: "extra", Prefix: fmt.Sprintf("%s%d/", ExtraPath, s.extra), Destinations: []route.Destination{{Service: "files", Weight: 1}}},
+	}
+	for i := range routes {
+		routes[i].Host, routes[i].MaxAttempts, routes[i].Timeout, routes[i].Objective = Host, MaxAttempts, Timeout, objective
+	}
+	return routes
+}
+
+func (s *Site) limits() []service.Service {
+	var all []service.Service
+	for _, name := range s.services() {
+		all = append(all, service.Service{Name: name, Connections: connections, ColdRate: coldRate})
+	}
+	return all
+}
+
+// Extra is the path of a route that the newest configuration has.
+func (s *Site) Extra() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("%s%d/", ExtraPath, s.extra)
+}
+
+// SetOut takes a failure domain out or back.
+func (s *Site) SetOut(domain string, out bool) {
+	if !out {
+		s.Record.SetOut(domain, false)
+	}
+	s.TakeOut(domain, out)
+	if out {
+		s.Record.SetOut(domain, true)
+	}
+}
+
+// SetStoreFault disturbs the store, or no longer where fault is nil.
+func (s *Site) SetStoreFault(fault func(w http.ResponseWriter) bool) {
+	if fault != nil {
+		s.Disturb(record.Store, true)
+		s.SetFault(fault)
+		return
+	}
+	s.SetFault(nil)
+	s.Disturb(record.Store, false)
+}
+
+// write replaces a file as a whole.
+func write(path string, text []byte) error {
+	part := path + ".part"
+	if err := os.WriteFile(part, text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(part, filepath.Clean(path))
+}
--- /dev/null
+++ b/internal/soak/site/upstream.go
@@ -0,0 +1,153 @@
+package site
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"crocuswing/internal/published/registration"
+	"crocuswing/internal/soak/record"
+	"crocuswing/internal/standin/proxy"
+	"crocuswing/internal/standin/replica"
+)
+
+// Upstream is a stand-in behind a proxy, registered in the store.
+type Upstream struct {
+	*replica.Replica
+	Proxy  *proxy.Proxy
+	site   *Site
+	server *http.Server
+
+	mu           sync.Mutex
+	registration registration.Registration
+}
+
+// Add starts an upstream of a service in a failure domain behind a new address.
+func (s *Site) Add(service, domain string) (*Upstream, error) {
+	p, err := proxy.New("")
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	s.number++
+	name := fmt.Sprintf("u-%d", s.number)
+	s.mu.Unlock()
+	return s.add(name, service, domain, p, 0)
+}
+
+// add starts an upstream behind a proxy. A cold one says so.
+func (s *Site) add(name, service, domain string, p *proxy.Proxy, cold time.Duration) (*Upstream, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	u := &Upstream{Proxy: p, site: s, registration: registration.Registration{
+		Upstream: name, Service: service, Address: p.Address(), FailureDomain: domain, Slots: slots, Cold: cold,
+		Incarnation: time.Now().UnixMilli(), Sequence: 1,
+	}}
+	u.Replica = replica.New(name, replica.Options{
+		Names: s.Headers(), Slots: slots, Queue: queue, Records: Records,
+		Work:    func(r *rand.Rand) time.Duration { return work + time.Duration(r.Int64N(int64(work))) },
+		Observe: func(a replica.Arrival) { s.Arrive(record.Arrival{Arrival: a, Service: service, Domain: domain}) },
+	})
+	u.server = &http.Server{Handler: u.Replica, ReadHeaderTimeout: Timeout}
+	go func() { _ = u.server.Serve(l) }() // ends with close
+	p.SetTarget(l.Addr().String())
+	if cold > 0 {
+		s.SetCold(name, true)
+		time.AfterFunc(cold, func() { s.SetCold(name, false) })
+	}
+	s.Stay(name)
+	s.Register(u.registration)
+	s.mu.Lock()
+	s.ups = append(s.ups, u)
+	s.mu.Unlock()
+	return u, nil
+}
+
+// Service is that of the upstream.
+func (u *Upstream) Service() string { return u.registration.Service }
+
+// Domain is the failure domain of the upstream.
+func (u *Upstream) Domain() string { return u.registration.FailureDomain }
+
+// Renew writes the registration again, as upstreams do now and then, unless the upstream has ended.
+func (u *Upstream) Renew() {
+	if !slices.Contains(u.site.Upstreams(), u) {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.registration.Sequence++
+	u.registration.Cold = 0
+	u.site.Register(u.registration)
+}
+
+// Lapse removes the registration of an upstream that lives on; Renew brings it back.
+func (u *Upstream) Lapse() { u.site.Unregister(u.ID()) }
+
+// Leave says that the upstream gets no new work. It serves on until Crash.
+func (u *Upstream) Leave() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.registration.Sequence++
+	u.registration.Leaving = true
+	u.site.Register(u.registration)
+	u.site.Leave(u.ID())
+}
+
+// Crash ends the upstream at once, and reports false if it has ended already. Its registration goes, as that of an upstream that
+// is silent.
+func (u *Upstream) Crash() bool {
+	u.site.mu.Lock()
+	at := slices.Index(u.site.ups, u)
+	if at >= 0 {
+		u.site.ups = slices.Delete(slices.Clone(u.site.ups), at, at+1)
+	}
+	u.site.mu.Unlock()
+	if at < 0 {
+		return false
+	}
+	u.Proxy.SetDown(true)
+	u.close()
+	u.site.Unregister(u.ID())
+	return true
+}
+
+// Restart crashes the upstream and starts it again under its name, cold.
+func (u *Upstream) Restart(after time.Duration) error {
+	if !u.Crash() {
+		return nil
+	}
+	time.Sleep(after)
+	u.Proxy.SetDown(false)
+	_, err := u.site.add(u.ID(), u.Service(), u.Domain(), u.Proxy, coldTime)
+	return err
+}
+
+// Replace crashes the upstream; one of another service gets its address, and a new one of its service another address.
+func (u *Upstream) Replace(by string) error {
+	if !u.Crash() {
+		return nil
+	}
+	time.Sleep(reuseAfter)
+	u.Proxy.SetDown(false)
+	u.site.mu.Lock()
+	u.site.number++
+	name := fmt.Sprintf("u-%d", u.site.number)
+	u.site.mu.Unlock()
+	if _, err := u.site.add(name, by, u.Domain(), u.Proxy, 0); err != nil {
+		return err
+	}
+	_, err := u.site.Add(u.Service(), u.Domain())
+	return err
+}
+
+// reuseAfter is the shortest time after which an address is used again.
+const reuseAfter = 2 * time.Second
+
+func (u *Upstream) close() { _ = u.server.Close() }
