--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -12,6 +12,7 @@
 
 	"crocuswing/internal/command/check"
 	"crocuswing/internal/command/demo"
+	"crocuswing/internal/command/experiment"
 	"crocuswing/internal/command/load"
 	"crocuswing/internal/command/serve"
 	"crocuswing/internal/command/soak"
@@ -41,6 +42,7 @@
 		check.New(stdout, stderr),
 		status.New(stdout, stderr),
 		demo.New(stdout, stderr),
+		experiment.New(stdout, stderr),
 		load.New(stdout, stderr),
 		standin.New(stdout, stderr),
 		soak.New(stdout, stderr, func() site.Store { return published.New() }, "platform"),
