--- a/internal/entry/admission/admission.go
+++ b/internal/entry/admission/admission.go
@@ -86,7 +86,8 @@
 	tenant      *tenant
 	key         uint64
 	cost        int
-	charged     bool // to the retry budget
+	isRepeat    bool // Spend has permitted it
+	charged     int  // cost that was charged to the retry budget
 	unscheduled bool // admitted without the scheduler, since it uses no capacity of its own
 	// Coalesced is whether an identical request of the caller is in flight, whose execution this one shares.
 	Coalesced bool
@@ -122,10 +123,9 @@
 		return g, nil, RefusedQueueFull
 	}
 	if kind == repeat.Retry || (kind == repeat.Repeat && contended) {
-		if !t.Spend(req.Cost, now) {
+		if !g.spend(now) {
 			return g, nil, RefusedRetryBudget
 		}
-		g.charged = true
 	}
 	if t.Start(req.Cost) {
 		g.start(req)
@@ -147,10 +147,16 @@
 	return g, nil, ""
 }
 
-// start records that the request runs. A request that was neither charged nor coalesced earns budget for later repeats.
+// spend charges a repeat to the retry budget and reports whether it may run.
+func (g *Grant) spend(now time.Time) bool {
+	g.charged, g.isRepeat = g.tenant.Spend(g.cost, now)
+	return g.isRepeat
+}
+
+// start records that the request runs. A request that is neither a repeat nor coalesced earns budget for later repeats.
 func (g Grant) start(req Request) {
 	g.tenant.Begin(g.key)
-	if !g.charged && !g.Coalesced {
+	if !g.isRepeat && !g.Coalesced {
 		g.tenant.Earn(req.Cost, req.Class.Cost)
 	}
 }
@@ -176,9 +182,7 @@
 	if !w.Withdraw() {
 		return g.resume(req)
 	}
-	if g.charged {
-		g.tenant.Refund(req.Cost)
-	}
+	g.tenant.Refund(g.charged)
 	return reason
 }
 
@@ -187,12 +191,9 @@
 	now := time.Now()
 	kind := g.tenant.Classify(g.key, now)
 	g.Coalesced = kind == repeat.Coalesced
-	if !g.charged && (kind == repeat.Retry || kind == repeat.Repeat) {
-		if !g.tenant.Spend(req.Cost, now) {
-			g.tenant.Finish(g.cost)
-			return RefusedRetryBudget
-		}
-		g.charged = true
+	if !g.isRepeat && (kind == repeat.Retry || kind == repeat.Repeat) && !g.spend(now) {
+		g.tenant.Finish(g.cost)
+		return RefusedRetryBudget
 	}
 	g.start(req)
 	return ""
--- a/internal/entry/admission/admission_test.go
+++ b/internal/entry/admission/admission_test.go
@@ -189,6 +189,24 @@
 	})
 }
 
+// TestFreeRepeatIsNotRefunded lets a repeat that passed without budget time out in the queue. It must not leave budget behind.
+func TestFreeRepeatIsNotRefunded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := New()
+		req := Request{Caller: "a", Class: class.Class{Concurrency: 1, Cost: 1, Queue: 2}, Cost: 1, Key: 7}
+		first, err := a.Admit(t.Context(), req)
+		require.NoError(t, err)
+		first.Release(false)
+		holder, err := a.Admit(t.Context(), Request{Caller: "a", Class: req.Class, Cost: 1, Key: 1})
+		require.NoError(t, err)
+		_, err = a.Admit(t.Context(), req)
+		requireDecision(t, RefusedQueueTimeout, err)
+		holder.Release(true)
+		_, err = a.Admit(t.Context(), req)
+		requireDecision(t, RefusedRetryBudget, err)
+	})
+}
+
 // useFreeRepeat uses up the repeat that passes without budget.
 func useFreeRepeat(t *testing.T, a *Admission, req Request) {
 	req.Key = 1 << 40
--- a/internal/entry/repeat/repeat.go
+++ b/internal/entry/repeat/repeat.go
@@ -81,22 +81,22 @@
 	h.tokens = min(max(h.tokens, burstShare*float64(maxCost)), h.tokens+earnShare*float64(cost))
 }
 
-// Spend charges a repeat to the budget and reports whether the repeat may run. A repeat that the budget does not cover may run
-// once in each freeRepeatInterval.
-func (h *History) Spend(cost int, now time.Time) bool {
+// Spend charges a repeat to the budget. It reports whether the repeat may run and the cost that was charged, which is 0 for a repeat
+// that the budget does not cover. One of these may run in each freeRepeatInterval.
+func (h *History) Spend(cost int, now time.Time) (charged int, ok bool) {
 	if h.tokens >= float64(cost) {
 		h.tokens -= float64(cost)
-		return true
+		return cost, true
 	}
 	if now.Sub(h.lastFree) < freeRepeatInterval {
-		return false
+		return 0, false
 	}
 	h.lastFree = now
-	return true
+	return 0, true
 }
 
-// Refund adds the cost of a repeat that was charged but did not run to the budget.
-func (h *History) Refund(cost int) { h.tokens += float64(cost) }
+// Refund returns to the budget what Spend charged for a repeat that did not run.
+func (h *History) Refund(charged int) { h.tokens += float64(charged) }
 
 // Begin records that a request was admitted.
 func (h *History) Begin(key uint64) {
--- a/internal/order/table/table.go
+++ b/internal/order/table/table.go
@@ -239,7 +239,7 @@
 // makeRoom drops finished entries of expired tickets until there is room for another entry, and reports whether it found room.
 func (t *Table) makeRoom() bool {
 	for range maxDropsPerCall {
-		if len(t.entries) < t.maxTickets && t.bytes+maxEntryBytes <= t.maxBytes {
+		if t.hasRoom() {
 			return true
 		}
 		if t.head == nil || t.now < t.head.expiry {
@@ -247,7 +247,12 @@
 		}
 		t.dropOrRequeue()
 	}
-	return false
+	return t.hasRoom()
+}
+
+// hasRoom reports whether another entry fits into the limits.
+func (t *Table) hasRoom() bool {
+	return len(t.entries) < t.maxTickets && t.bytes+maxEntryBytes <= t.maxBytes
 }
 
 // dropOrRequeue drops the oldest entry, or moves it to the end of the queue if its order still runs.
--- a/internal/order/table/table_test.go
+++ b/internal/order/table/table_test.go
@@ -281,3 +281,24 @@
 		})
 	}
 }
+
+// TestMakeRoomAfterLastDrop checks that an order begins if the last drop that one call permits makes room for it.
+func TestMakeRoomAfterLastDrop(t *testing.T) {
+	const permittedDrops = 8
+	tbl := table.New(table.WithMaxTickets(permittedDrops), table.WithLifetime(time.Minute), table.WithRetention(time.Hour))
+	var running []*table.Entry
+	for n := range permittedDrops {
+		id, expiry := tbl.Issue(0)
+		e, first, _ := tbl.Begin(id, expiry, hashA, 0)
+		require.True(t, first)
+		if n == permittedDrops-1 {
+			e.Finish(doneOutcome)
+		} else {
+			running = append(running, e) // is moved to the end of the queue, which counts as a drop
+		}
+	}
+	id, expiry := tbl.Issue(2 * time.Minute)
+	_, first, o := tbl.Begin(id, expiry, hashB, 2*time.Minute)
+	require.True(t, first, "refused with %+v although there is room", o)
+	require.Len(t, running, permittedDrops-1)
+}
--- a/internal/upstream/link/link_test.go
+++ b/internal/upstream/link/link_test.go
@@ -17,6 +17,7 @@
 	"crocuswing/internal/upstream/connection"
 	"crocuswing/internal/upstream/contract"
 	"crocuswing/internal/upstream/failure"
+	"crocuswing/internal/upstream/start"
 	"crocuswing/internal/wire/header"
 	"crocuswing/internal/wire/order"
 	"crocuswing/internal/wire/part"
@@ -430,3 +431,21 @@
 		require.True(t, errors.Is(ctx.Err(), context.DeadlineExceeded))
 	})
 }
+
+// TestOrderOutlivesStartLimit checks that an order that has a connection does not end at its start limit, since the upstream may be
+// processing it.
+func TestOrderOutlivesStartLimit(t *testing.T) {
+	const startLimit = 50 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		u := newUpstream(25)
+		u.SetSlowdown(float64(4 * startLimit / serviceTime))
+		r := newRig(t, 4, 4, u)
+		defer r.stop()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		ctx, cancelStart := start.WithTimeout(ctx, startLimit)
+		defer cancelStart()
+		_, _, err := r.Order(ctx, order.Request{RequestID: "o"})
+		require.NoError(t, err)
+	})
+}
--- a/internal/upstream/start/start_test.go
+++ b/internal/upstream/start/start_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http/httptrace"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,7 +31,7 @@
 				require.True(t, ok)
 				require.Equal(t, time.Second, time.Until(deadline))
 				if c.connected {
-					httptrace.ContextClientTrace(ctx).GotConn(httptrace.GotConnInfo{})
+					start.Connected(ctx)
 				}
 				time.Sleep(2 * time.Second)
 				require.Equal(t, c.err, ctx.Err())
--- a/internal/upstream/target/target.go
+++ b/internal/upstream/target/target.go
@@ -24,8 +24,7 @@
 	// the attempts of the previous first home can finish.
 	HandoverDelay = 250 * time.Millisecond
 
-	latencyWeight = 0.2              // weight of the newest sample in the moving average
-	maxRetryAfter = 10 * time.Second // maximum pause after a shed, whatever the upstream requested
+	latencyWeight = 0.2 // weight of the newest sample in the moving average
 
 	overdueFactor = 8                     // multiple of the recent service time from which an attempt is overdue
 	minOverdue    = 20 * time.Millisecond // minimum age of an overdue attempt
@@ -50,6 +49,7 @@
 
 	mu         sync.Mutex
 	role       Role
+	hasRole    bool       // a role was set before: under the earlier view another instance may be the first home
 	state      *homeState // set while this instance is a home; its last attempts in flight may keep it longer
 	relays     int        // attempts in flight through other homes
 	peerWarm   bool       // whether the home that replied last knows the upstream to be warm
@@ -128,12 +128,14 @@
 	return t.role
 }
 
-// SetRole changes the role of this instance. It refuses queued requests that this instance may no longer send.
+// SetRole changes the role of this instance. An instance that becomes the first home waits for HandoverDelay, except in the first role
+// of a target, whose upstream is new to the view. SetRole refuses queued requests that this instance may no longer send.
 func (t *Target) SetRole(r Role) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	becameFirst := t.state != nil && r.IsFirst && !t.role.IsFirst
+	becameFirst := t.hasRole && r.IsHome && r.IsFirst && !t.role.IsFirst
+	t.hasRole = true
 	t.role = r
 	switch {
 	case r.IsHome && t.state == nil:
@@ -330,8 +332,8 @@
 	if s.Draining {
 		t.drain = t.drain.WithSignal(now)
 	}
-	if s.Shed {
-		t.shedUntil = now.Add(min(s.RetryAfter, maxRetryAfter))
+	if until := now.Add(s.RetryAfter); s.Shed && until.After(t.shedUntil) {
+		t.shedUntil = until // a shorter pause that another response requests does not replace a longer one
 	}
 	if s.Load >= 0 {
 		t.load = s.Load
--- a/internal/upstream/target/target_test.go
+++ b/internal/upstream/target/target_test.go
@@ -228,3 +228,44 @@
 		require.NoError(t, err, "an old service time must not cause a refusal")
 	})
 }
+
+// TestHandoverToNewHome checks that an instance that becomes a home and the first home at once sends nothing to a cold upstream
+// before the attempts of the previous first home can have finished.
+func TestHandoverToNewHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tgt := target.New("a", testContract, home.Location{})
+		tgt.SetRole(target.Role{})
+		tgt.SetRole(firstHome)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := tgt.Acquire(ctx)
+		var queueErr *queue.Error
+		require.ErrorAs(t, err, &queueErr)
+		time.Sleep(target.HandoverDelay)
+		s, err := tgt.Acquire(ctx)
+		require.NoError(t, err)
+		tgt.Release(s)
+	})
+}
+
+// TestPauseIsNotShortened checks that a pause that the upstream requested ends at the latest of the requested times, whatever the
+// responses of other attempts request.
+func TestPauseIsNotShortened(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tgt := target.New("a", testContract, home.Location{})
+		tgt.SetRole(firstHome)
+		var slots []target.Slot
+		for range testContract.ColdSlots {
+			s, err := tgt.Acquire(t.Context())
+			require.NoError(t, err)
+			slots = append(slots, s)
+		}
+		start := time.Now()
+		tgt.Finish(slots[0], target.Result{FailureKind: failure.KindShed, Signal: signal.Signal{Shed: true, RetryAfter: 30 * time.Second, Load: -1}})
+		tgt.Finish(slots[1], target.Result{FailureKind: failure.KindShed, Signal: signal.Signal{Shed: true, Load: -1}})
+		for !tgt.IsAvailable(time.Now()) {
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.Equal(t, 30*time.Second, time.Since(start))
+	})
+}
