fix(upstream/connection): bound what a response may take; no race on a connection that ends at once

Cause: heads were read by http.ReadResponse without a bound, any number of interim responses was skipped, and a body was allocated by its announced length. Bodies above 64 KiB now count against an eighth of the instance's memory until they are written or merged, heads against 16 KiB, 128 fields and 8 interim responses; what is discarded of a closed connection against 256 KiB.

The race of pool.(*Pool).add: the callback read a variable that New had not assigned yet; the connection is now its argument. TestConnectionEndsWhileAdded shows the race on.

--- a/internal/forward/reply/reply.go
+++ b/internal/forward/reply/reply.go
@@ -5,6 +5,8 @@
 import (
 	"net/http"
 	"time"
+
+	"crocuswing/internal/upstream/connection"
 )
 
 // Reply is the response of an upstream, a merged answer, or a refusal or failure of this instance. It is immutable.
@@ -21,6 +23,20 @@
 	Reason string
 	// RetryAfter is the delay after which a refused caller may retry; it is 0 if the request was not refused.
 	RetryAfter time.Duration
+
+	free func()
+}
+
+// FromUpstream returns the reply that passes on a response. Free frees the response.
+func FromUpstream(r connection.Response) Reply {
+	return Reply{Status: r.Status, Header: r.Header, Body: r.Body, free: r.Free}
+}
+
+// Free ends the use of the body. The handler calls it once the reply is written.
+func (r Reply) Free() {
+	if r.free != nil {
+		r.free()
+	}
 }
 
 // Refused returns the reply to a request that was not run and never will be.
--- a/internal/policy/limiter/limiter.go
+++ b/internal/policy/limiter/limiter.go
@@ -31,6 +31,13 @@
 	l.limit = limit
 }
 
+// Limit returns the limit; 0 means no limit.
+func (l *Limiter) Limit() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limit
+}
+
 // Acquire adds units of work for a request if the limit for its rank permits, and reports whether it did. Rank 0 is the most important.
 // Without work in progress any request is accepted, even one above the limit.
 func (l *Limiter) Acquire(units, rank int) bool {
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"crocuswing/internal/settings/deployment"
 	"crocuswing/internal/stats/history"
 	"crocuswing/internal/upstream/catalog"
+	"crocuswing/internal/upstream/link"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -42,6 +43,8 @@
 	subrequestMemoryShare = 0.25
 	// subrequestBytes is the memory for an attempt of a subrequest: two connection buffers of 4 KiB and a goroutine stack of 8 KiB.
 	subrequestBytes = 16 << 10
+	// bodyMemoryShare is the fraction of the instance's memory for large response bodies; small ones count with their subrequests.
+	bodyMemoryShare = 0.125
 	// callerSocketShare is the fraction of the instance's sockets for callers; the rest is for upstreams and other instances.
 	callerSocketShare = 0.5
 	// headerTimeout is a fallback; the limits of the configuration apply to callers.
@@ -61,6 +64,7 @@
 	conns       *connections.Connections
 	inFlight    *inflight.Tracker
 	subrequests *limiter.Limiter
+	bodies      *limiter.Limiter // memory of large response bodies in KiB
 	handler     http.Handler
 	ports       Ports
 	stopping    atomic.Bool
@@ -89,10 +93,11 @@
 		conns:       connections.New(),
 		inFlight:    inflight.New(),
 		subrequests: limiter.New(0),
+		bodies:      limiter.New(0),
 	}
 	g.applyLimits(s)
 	latencyHistory := history.New()
-	g.catalog = catalog.New(s, latencyHistory)
+	g.catalog = catalog.New(s, latencyHistory, catalog.WithLinkOptions(link.WithMemoryLimit(g.bodies)))
 	g.membership = membership.New(s.Instance, s.PeerAddress, s.Seeds, g.log, g.catalog.SetInstanceCount)
 	source := relay.New(p.Store, g.membership, g.metrics.Count)
 	g.follower = follower.New(source, pollInterval, g.log, follower.WithViewObserver(g.updateView), follower.WithCounter(g.metrics.Count))
@@ -100,6 +105,7 @@
 	g.handler = g.limitRequests(p.NewHandler(g.runner))
 	g.metrics.Gauge("crocuswing_instances", func() float64 { return float64(g.membership.Size()) })
 	g.metrics.Gauge("crocuswing_legs_in_flight", func() float64 { return float64(g.subrequests.Used()) })
+	g.metrics.Gauge("crocuswing_large_bodies_bytes", func() float64 { return float64(g.bodies.Used() << 10) })
 	g.metrics.Gauge("crocuswing_requests_in_flight", func() float64 { return float64(g.inFlight.Requests()) })
 	return g
 }
@@ -118,6 +124,7 @@
 // applyLimits sets the limits on subrequests and on connections of callers, according to the memory and the sockets of the instance.
 func (g *Gateway) applyLimits(s deployment.Settings) {
 	g.subrequests.SetLimit(int(subrequestMemoryShare * float64(s.MemoryBytes) / subrequestBytes))
+	g.bodies.SetLimit(int(bodyMemoryShare * float64(s.MemoryBytes) / (1 << 10)))
 	g.conns.SetMax(int(callerSocketShare * float64(s.MaxSockets)))
 }
 
--- a/internal/upstream/connection/connection.go
+++ b/internal/upstream/connection/connection.go
@@ -10,10 +10,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
+
+	"crocuswing/internal/policy/limiter"
 )
 
 // ErrClosed is returned by RoundTrip if the connection was closed before the request; no byte of the request was sent.
@@ -21,24 +22,35 @@
 
 const (
 	// MaxBodyBytes is the maximum size of a response body, which is buffered in memory.
-	MaxBodyBytes    = 16 << 20
+	MaxBodyBytes = 16 << 20
+	// MaxHeadBytes is the maximum size of the status line and the headers of a response, together with all interim responses.
+	MaxHeadBytes = 16 << 10
+	// MaxHeaderFields is the maximum number of header fields of a response, trailers included.
+	MaxHeaderFields = 128
+	// MaxInterimResponses is the maximum number of interim responses (status 1xx) before the final one.
+	MaxInterimResponses = 8
+
 	readBufferBytes = 2 << 10 // holds the header and the body of a small response
 	// smallRequestBytes fits into the send buffer of a socket, so that writing a request of this size does not block.
 	smallRequestBytes = 4 << 10
 )
 
-// BodyTooLargeError is returned for a response whose body exceeds Limit bytes.
-type BodyTooLargeError struct{ Limit int64 }
+// LimitError is returned for a response that exceeds a limit.
+type LimitError struct {
+	Subject string // what is limited
+	Limit   int
+}
 
 // Error returns a message with the limit.
-func (e *BodyTooLargeError) Error() string {
-	return fmt.Sprintf("answer is longer than %d bytes", e.Limit)
+func (e *LimitError) Error() string {
+	return fmt.Sprintf("response exceeds the limit of %d %s", e.Limit, e.Subject)
 }
 
 // Connection is a connection to one upstream that carries one request at a time.
 type Connection struct {
 	stream   *stream
-	requests int // requests begun so far
+	memory   *limiter.Limiter // of all bodies beyond smallBodyBytes, in KiB
+	requests int              // requests begun so far
 
 	mu        sync.Mutex
 	pending   *pending
@@ -49,6 +61,33 @@
 type pending struct {
 	request *http.Request
 	result  chan result
+
+	mu          sync.Mutex
+	isAbandoned bool // nobody receives the result
+}
+
+// deliver passes on the result, or frees its memory if nobody receives it.
+func (p *pending) deliver(res result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isAbandoned {
+		res.Free()
+		return
+	}
+	p.result <- res
+}
+
+// abandon returns the result if it has been delivered. Otherwise nobody receives it from now on, and err is the result.
+func (p *pending) abandon(err error) (Response, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case res := <-p.result:
+		return res.Response, res.err
+	default:
+		p.isAbandoned = true
+		return Response{}, err
+	}
 }
 
 // Response is a complete HTTP response with its buffered body.
@@ -58,18 +97,41 @@
 	Body   []byte
 	// Close reports whether the upstream closes the connection after this response.
 	Close bool
+
+	free func() // returns the memory of a large body to the limit; nil if it is small
 }
 
+// IsLarge reports whether the body counts against the limit on the memory of all bodies, until Free is called.
+func (r Response) IsLarge() bool { return r.free != nil }
+
+// Free ends the use of the body. It must be called once for a response whose body is large, and has no effect on others.
+func (r Response) Free() {
+	if r.free != nil {
+		r.free()
+	}
+}
+
+// Option configures a Connection.
+type Option func(*Connection)
+
+// WithMemoryLimit returns an option that counts the memory of large bodies, in KiB, against a limit that connections share. A response
+// that does not fit is unusable.
+func WithMemoryLimit(l *limiter.Limiter) Option { return func(c *Connection) { c.memory = l } }
+
 type result struct {
 	Response
 	err error
 }
 
-// New returns a Connection that takes ownership of raw. onReleased is called once, when the connection no longer counts
-// against the upstream's limit: the upstream has closed its end, or LingerTimeout has passed since Close. onLost is called as
-// soon as the upstream closes the connection first, whether it is in use or idle.
-func New(raw net.Conn, onReleased, onLost func()) *Connection {
-	c := &Connection{stream: newStream(raw, onReleased, onLost)}
+// New returns a Connection that takes ownership of raw. onReleased is called once with the connection, when it no longer counts
+// against the upstream's limit: the upstream has closed its end, or LingerTimeout has passed since Close. It may be called before
+// New returns. onLost is called as soon as the upstream closes the connection first, whether it is in use or idle.
+func New(raw net.Conn, onReleased func(*Connection), onLost func(), options ...Option) *Connection {
+	c := &Connection{memory: limiter.New(0)}
+	for _, o := range options {
+		o(c)
+	}
+	c.stream = newStream(raw, func() { onReleased(c) }, onLost)
 	go c.read()
 	return c
 }
@@ -94,18 +156,13 @@
 	c.pending = p
 	c.mu.Unlock()
 	if err := c.write(r); err != nil {
-		select {
-		case res := <-p.result: // the upstream responded before it had read the whole request
-			return res.Response, res.err
-		default:
-			return Response{}, err
-		}
+		return p.abandon(err) // the upstream may have responded before it had read the whole request
 	}
 	select {
 	case res := <-p.result:
 		return res.Response, res.err
 	case <-r.Context().Done():
-		return Response{}, r.Context().Err()
+		return p.abandon(r.Context().Err())
 	}
 }
 
@@ -128,7 +185,8 @@
 
 // read delivers responses until the connection ends.
 func (c *Connection) read() {
-	r := bufio.NewReaderSize(c.stream, readBufferBytes)
+	head := &headReader{Reader: c.stream}
+	r := bufio.NewReaderSize(head, readBufferBytes)
 	for {
 		if _, err := r.Peek(1); err != nil {
 			c.closeWith(result{err: err})
@@ -141,7 +199,7 @@
 			c.closeWith(result{}) // unsolicited data belongs to no request
 			return
 		}
-		res := readResponse(r, p.request)
+		res := c.readResponse(head, r, p.request)
 		if res.err != nil || res.Close || r.Buffered() > 0 {
 			c.closeWith(res)
 			return
@@ -149,7 +207,7 @@
 		c.mu.Lock()
 		c.pending = nil
 		c.mu.Unlock()
-		p.result <- res
+		p.deliver(res)
 	}
 }
 
@@ -161,43 +219,8 @@
 	c.mu.Unlock()
 	c.Close()
 	if p != nil {
-		p.result <- last
-	}
-}
-
-func readResponse(r *bufio.Reader, req *http.Request) result {
-	for {
-		resp, err := http.ReadResponse(r, req)
-		if err != nil {
-			return result{err: err}
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
-		body, err := readBody(resp, req.Method)
-		if err == nil {
-			err = resp.Body.Close()
-		}
-		return result{Response: Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Close: resp.Close}, err: err}
-	}
-}
-
-func readBody(resp *http.Response, method string) ([]byte, error) {
-	switch {
-	case method == http.MethodHead || resp.ContentLength == 0:
-		return nil, nil
-	case resp.ContentLength > MaxBodyBytes:
-		return nil, &BodyTooLargeError{Limit: MaxBodyBytes}
-	case resp.ContentLength > 0:
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBodyBytes+1))
-	if err == nil && len(body) > MaxBodyBytes {
-		return nil, &BodyTooLargeError{Limit: MaxBodyBytes}
+		p.deliver(last)
 	}
-	return body, err
 }
 
 // BytesReceived returns the number of bytes received since BeginRequest.
--- a/internal/upstream/connection/connection_test.go
+++ b/internal/upstream/connection/connection_test.go
@@ -67,7 +67,7 @@
 				}
 				released := make(chan time.Time, 1)
 				start := time.Now()
-				conn := New(client, func() { released <- time.Now() }, func() { t.Error("the upstream did not close the connection") })
+				conn := New(client, func(*Connection) { released <- time.Now() }, func() { t.Error("the upstream did not close the connection") })
 				conn.Close()
 				require.True(t, conn.IsClosed())
 				time.Sleep(delay)
--- a/internal/upstream/connection/response_test.go
+++ b/internal/upstream/connection/response_test.go
@@ -47,7 +47,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				client, server := network.Pipe("u")
 				go serveBytes(server, c.response, c.reset, c.open)
-				conn := New(client, func() {}, func() {})
+				conn := New(client, func(*Connection) {}, func() {})
 				defer time.Sleep(2 * LingerTimeout)
 				defer conn.Close()
 				conn.BeginRequest()
@@ -88,7 +88,7 @@
 func TestUnsolicited(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		client, server := network.Pipe("u")
-		conn := New(client, func() {}, func() {})
+		conn := New(client, func(*Connection) {}, func() {})
 		_, err := io.WriteString(server, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 		require.NoError(t, err)
 		synctest.Wait()
--- a/internal/upstream/connection/stream.go
+++ b/internal/upstream/connection/stream.go
@@ -15,7 +15,7 @@
 	// the connection.
 	LingerTimeout = 30 * time.Second
 	// maxDiscardBytes limits the data that is read and discarded after the close.
-	maxDiscardBytes = 8 << 20
+	maxDiscardBytes = 256 << 10
 )
 
 // past is a deadline that unblocks a pending read or write at once.
--- a/internal/upstream/link/exchange.go
+++ b/internal/upstream/link/exchange.go
@@ -92,6 +92,7 @@
 // handleResponse decodes the response into the reply. A connection that delivered a malformed response or the response to another
 // request is closed, since later data on it cannot be trusted either.
 func (x *exchange) handleResponse(got connection.Response) (signal.Signal, error) {
+	defer got.Free()
 	sig := signal.From(got.Status, got.Header)
 	if sig.Draining {
 		x.pool.DrainUntil(time.Now().Add(drainHold))
--- a/internal/upstream/link/forward.go
+++ b/internal/upstream/link/forward.go
@@ -34,11 +34,12 @@
 	NonIdempotent bool
 	// BeforeSend is called immediately before the first byte is sent. Nothing is sent if it returns false. It may be nil.
 	BeforeSend func() bool
-	// CheckResponse returns an error for a response that belongs to another request. It may be nil.
+	// CheckResponse returns an error for a response that belongs to another request. It is also called for a response that broke off
+	// after its headers. It may be nil.
 	CheckResponse func(status int, h http.Header) error
 }
 
-// Forward sends a request and returns its complete response, whatever its status. It fails with *failure.Failure, whose NotRun is
+// Forward sends a request and returns its complete response, whatever its status. The caller frees the response. Forward fails with *failure.Failure, whose NotRun is
 // true if and only if no byte was sent.
 func (l *Link) Forward(ctx context.Context, req Request) (connection.Response, error) {
 	for {
@@ -73,10 +74,14 @@
 	}
 	got, err := x.conn.RoundTrip(x.newRequest(ctx, req))
 	if err != nil {
+		if req.CheckResponse != nil && got.Header != nil {
+			_ = req.CheckResponse(got.Status, got.Header) // the response is unusable whether or not it belongs to the request
+		}
 		return connection.Response{}, x.connectionFailure(ctx, err)
 	}
 	if req.CheckResponse != nil {
 		if err := req.CheckResponse(got.Status, got.Header); err != nil {
+			got.Free()
 			return connection.Response{}, x.mismatch(err)
 		}
 	}
--- a/internal/upstream/link/link.go
+++ b/internal/upstream/link/link.go
@@ -14,11 +14,13 @@
 	"time"
 
 	"crocuswing/internal/network/socket"
+	"crocuswing/internal/policy/limiter"
 	"crocuswing/internal/upstream/connection"
 	"crocuswing/internal/upstream/failure"
 	"crocuswing/internal/upstream/pool"
 	"crocuswing/internal/upstream/signal"
 	"crocuswing/internal/upstream/stall"
+	"crocuswing/internal/upstream/start"
 	"crocuswing/internal/wire/header"
 	"crocuswing/internal/wire/order"
 	"crocuswing/internal/wire/part"
@@ -51,8 +53,9 @@
 type Option func(*options)
 
 type options struct {
-	dial   pool.Dial
-	onLost func()
+	dial        pool.Dial
+	onLost      func()
+	connOptions []connection.Option
 }
 
 // WithDial returns an option that opens connections with dial instead of TCP.
@@ -65,6 +68,11 @@
 	return func(o *options) { o.onLost = onLost }
 }
 
+// WithMemoryLimit returns an option that counts the memory of large response bodies, in KiB, against a limit that links share.
+func WithMemoryLimit(l *limiter.Limiter) Option {
+	return func(o *options) { o.connOptions = append(o.connOptions, connection.WithMemoryLimit(l)) }
+}
+
 // Stats counts the connections of a link, and in Crossed the responses that belonged to other requests.
 type Stats struct {
 	pool.Stats
@@ -82,7 +90,7 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	return &Link{name: name, pool: pool.New(address, connections, o.dial, pool.WithLost(o.onLost)), detector: stall.New()}
+	return &Link{name: name, pool: pool.New(address, connections, o.dial, pool.WithLost(o.onLost), pool.WithConnectionOptions(o.connOptions...)), detector: stall.New()}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -160,6 +168,7 @@
 		if err != nil {
 			return signal.Signal{Load: -1}, l.acquireFailure(ctx, err)
 		}
+		start.Connected(ctx)
 		sig, err := l.beginMessage(c, m).run(ctx, text)
 		if !errors.Is(err, errNotSent) {
 			return sig, err
--- a/internal/upstream/pool/open.go
+++ b/internal/upstream/pool/open.go
@@ -34,8 +34,7 @@
 
 // add adds a dialed connection to the pool as idle, or closes it if it is no longer needed.
 func (p *Pool) add(raw net.Conn, generation int) {
-	var c *connection.Connection
-	c = connection.New(raw, func() { p.remove(c) }, p.onLost)
+	c := connection.New(raw, p.remove, p.onLost, p.connOptions...)
 	p.conns[c] = &connState{generation: generation, idleSince: time.Now()}
 	if p.closed || p.isDraining() || generation != p.generation {
 		c.Close()
--- a/internal/upstream/pool/pool.go
+++ b/internal/upstream/pool/pool.go
@@ -27,8 +27,9 @@
 
 // Pool manages the connections to one upstream, each used by one request at a time. It is safe for concurrent use.
 type Pool struct {
-	dial   Dial
-	onLost func()
+	dial        Dial
+	onLost      func()
+	connOptions []connection.Option
 
 	mu         sync.Mutex
 	address    string
@@ -67,6 +68,11 @@
 	return func(p *Pool) { p.onLost = onLost }
 }
 
+// WithConnectionOptions returns an option that opens connections with the given options.
+func WithConnectionOptions(options ...connection.Option) Option {
+	return func(p *Pool) { p.connOptions = options }
+}
+
 // New returns a pool of at most maxConns connections to address; a limit below 1 counts as 1.
 func New(address string, maxConns int, dial Dial, options ...Option) *Pool {
 	p := &Pool{
--- a/internal/upstream/pool/pool_test.go
+++ b/internal/upstream/pool/pool_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"flag"
+	"net"
 	"os"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -145,3 +147,26 @@
 	}
 	time.Sleep(2 * connection.LingerTimeout)
 }
+
+// resetConn is a connection that the upstream has reset.
+type resetConn struct{ net.Conn }
+
+func (resetConn) CloseWrite() error { return syscall.ECONNRESET }
+
+// TestConnectionEndsWhileAdded checks that a connection that the upstream resets at once is no longer counted. The race detector reports
+// a callback that uses the connection before the pool has it.
+func TestConnectionEndsWhileAdded(t *testing.T) {
+	for range 200 {
+		synctest.Test(t, func(t *testing.T) {
+			p := New(addressA, 2, func(context.Context, string) (net.Conn, error) {
+				client, server := net.Pipe()
+				_ = server.Close()
+				return resetConn{client}, nil
+			})
+			require.True(t, p.Preconnect())
+			synctest.Wait()
+			require.Zero(t, p.Stats().Connections)
+			p.Close()
+		})
+	}
+}
