feat(upstream): leaving upstreams and requested pauses, as upstreams announce them in responses

Server-Leaving holds for the rest of an incarnation, across lapsed registrations and new addresses, in responses of every kind; if all replicas say so, they are the last resort for half of the drain time. Requests that cannot be served are refused at once with the earliest end of a pause.

--- a/internal/experiment/testbed/testbed.go
+++ b/internal/experiment/testbed/testbed.go
@@ -33,10 +33,11 @@
 	"crocuswing/internal/upstream/catalog"
 	"crocuswing/internal/upstream/cluster"
 	"crocuswing/internal/upstream/link"
+	"crocuswing/internal/upstream/retryafter"
 )
 
 // HeaderNames holds the header names of the contract with the upstreams.
-var HeaderNames = replica.HeaderNames{RequestID: "Id", Deadline: "Deadline", Target: "Target", Proof: "Seal", NotRun: "Not-Run", Load: "Load"}
+var HeaderNames = replica.HeaderNames{RequestID: "Id", Deadline: "Deadline", Target: "Target", Proof: "Seal", NotRun: "Not-Run", Load: "Load", Leaving: "Leaving"}
 
 const (
 	// DialLatency is the time that the users' upstreams take to accept a new connection.
@@ -205,6 +206,10 @@
 func (*Testbed) Signals(q request.Request, status int, h http.Header) (cluster.Signals, error) {
 	s := cluster.Signals{Load: -1, Proof: h.Get(HeaderNames.Proof), NotRun: h.Get(HeaderNames.NotRun) != ""}
 	s.IsMisdirected = status == http.StatusMisdirectedRequest
+	s.IsLeaving = h.Get(HeaderNames.Leaving) == "1"
+	if status == http.StatusServiceUnavailable {
+		s.RetryAfter = retryafter.Parse(h, time.Now())
+	}
 	if id := h.Get(HeaderNames.RequestID); id != q.ID {
 		return s, fmt.Errorf("answer to %q in place of %q", id, q.ID)
 	}
--- a/internal/forward/runner/execution.go
+++ b/internal/forward/runner/execution.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,6 +19,9 @@
 // a typical service time.
 const recheckInterval = 10 * time.Millisecond
 
+// maxHoldDivisor limits how long a request is held for upstreams that requested a pause: to this part of the time until its objective.
+const maxHoldDivisor = 4
+
 // execution is the state of one request. Only the goroutine that called run modifies it.
 type execution struct {
 	*Runner
@@ -54,8 +58,8 @@
 	if !now.Before(e.plan.ReplyDeadline) {
 		return refused("no time is left")
 	}
-	if available := e.available(); available < e.required {
-		return refused(fmt.Sprintf("%d of %d services have an upstream that may take work", available, len(e.subrequests)))
+	if available, wait := e.available(now); available < e.required {
+		return refusedFor(fmt.Sprintf("%d of %d services have an upstream that may take work", available, len(e.subrequests)), wait)
 	}
 	if !e.limiter.Acquire(len(e.subrequests), e.route.Rank) {
 		return refused("this instance has begun as much as it may")
@@ -91,22 +95,61 @@
 // work costs the upstream more than a new connection.
 func (e *execution) close() {
 	close(e.done)
+	e.discardResults()
 	now := time.Now()
 	for _, s := range e.subrequests {
 		s.cancelSlow(now)
+		s.freeError()
+	}
+}
+
+// deliver passes on the result of an attempt, or discards it if results are no longer received.
+func (e *execution) deliver(res result) {
+	select {
+	case e.results <- res:
+	case <-e.done:
+		res.response.Free()
+	}
+	select {
+	case <-e.done:
+		e.discardResults() // close may have missed this one
+	default:
 	}
 }
 
-// available returns the number of subrequests that can start. A request that would have to wait for cold upstreams is refused:
-// otherwise each request would use up some of the little capacity, and few would get all of their parts.
-func (e *execution) available() int {
-	n := 0
+// discardResults frees the responses that were delivered but not received.
+func (e *execution) discardResults() {
+	for {
+		select {
+		case res := <-e.results:
+			res.response.Free()
+		default:
+			return
+		}
+	}
+}
+
+// available returns the number of subrequests that can start soon, and after which time enough of them can, which is 0 if that is
+// unknown. A request that would have to wait for cold upstreams is refused: otherwise each request would use up some of the little
+// capacity, and few would get all of their parts. So is one that would have to wait long for upstreams that requested a pause.
+func (e *execution) available(now time.Time) (n int, wait time.Duration) {
+	latestStart := now.Add(max(0, e.plan.Objective.Sub(now)) / maxHoldDivisor)
+	var starts []time.Time
 	for _, s := range e.subrequests {
-		if s.cluster.CanServeNow(e.route) {
+		from, ok := s.cluster.CanServeNow(e.route)
+		if !ok {
+			continue
+		}
+		starts = append(starts, from)
+		if !from.After(latestStart) {
 			n++
 		}
 	}
-	return n
+	if n < e.required && len(starts) >= e.required {
+		slices.SortFunc(starts, time.Time.Compare)
+		wait = starts[e.required-1].Sub(now)
+	}
+	return n, wait
 }
 
 // replyIfDue returns the reply if it has to be sent now.
@@ -172,7 +215,7 @@
 func (e *execution) successReply() reply.Reply {
 	if !e.route.IsGather() {
 		resp := e.subrequests[0].response
-		return reply.Reply{Status: resp.Status, Header: resp.Header, Body: resp.Body}
+		return reply.FromUpstream(resp)
 	}
 	m := merge.New(e.route.TopK)
 	rep := reply.Reply{Status: http.StatusOK}
@@ -193,8 +236,9 @@
 func (e *execution) failureReply(status int, reason string) reply.Reply {
 	mayHaveRun := false
 	for _, s := range e.subrequests {
-		if s.upstreamError != nil && !e.route.IsGather() {
-			return reply.Reply{Status: s.upstreamError.Status, Header: s.upstreamError.Header, Body: s.upstreamError.Body}
+		if resp := s.upstreamError; resp != nil && !e.route.IsGather() {
+			s.upstreamError = nil // the reply frees it
+			return reply.FromUpstream(*resp)
 		}
 		mayHaveRun = s.cancel() || mayHaveRun
 	}
--- a/internal/forward/runner/runner.go
+++ b/internal/forward/runner/runner.go
@@ -123,6 +123,9 @@
 }
 
 // refused returns a refusal with a jittered retry delay.
-func refused(reason string) reply.Reply {
-	return reply.Refused(reason, retryDelay/2+rand.N(retryDelay))
+func refused(reason string) reply.Reply { return refusedFor(reason, 0) }
+
+// refusedFor returns a refusal of a request that cannot be served for the given time. The retry delay has jitter.
+func refusedFor(reason string, wait time.Duration) reply.Reply {
+	return reply.Refused(reason, max(0, wait)+retryDelay/2+rand.N(retryDelay))
 }
--- a/internal/forward/runner/sender.go
+++ b/internal/forward/runner/sender.go
@@ -6,9 +6,11 @@
 	"net/http"
 	"time"
 
+	"crocuswing/internal/forward/merge"
 	"crocuswing/internal/forward/request"
 	"crocuswing/internal/routing/route"
 	"crocuswing/internal/upstream/cluster"
+	"crocuswing/internal/upstream/connection"
 	"crocuswing/internal/upstream/failure"
 	"crocuswing/internal/upstream/link"
 )
@@ -36,7 +38,7 @@
 		Header:        func() http.Header { return s.protocol.Header(s.request, s.replica.Name(), time.Until(s.deadline)) },
 		Body:          s.request.Body,
 		NonIdempotent: s.route.NonIdempotent,
-		BeforeSend:    s.gate.allowSend,
+		BeforeSend:    func() bool { return s.cluster.MaySend(s.replica) && s.gate.allowSend() },
 		CheckResponse: func(status int, h http.Header) (err error) {
 			signals, err = s.protocol.Signals(s.request, status, h)
 			return err
@@ -44,13 +46,31 @@
 	}
 	res.response, res.err = s.replica.Link().Forward(ctx, out)
 	res.signals = signals
+	if s.route.IsGather() {
+		s.reducePart(&res.response)
+	}
 	if res.err == nil {
 		s.cluster.RecordSignals(s.replica, signals)
+	} else {
+		s.cluster.RecordDeparture(s.replica, signals)
 	}
 	s.record(res)
 	return res
 }
 
+// reducePart replaces a large body by the records of it that an answer may contain, so that its memory is not held until the answer
+// is complete.
+func (s *sender) reducePart(r *connection.Response) {
+	if !r.IsLarge() {
+		return
+	}
+	m := merge.New(s.route.TopK)
+	m.Add(r.Body)
+	records := m.Bytes()
+	r.Free()
+	*r = connection.Response{Status: r.Status, Header: r.Header, Body: records, Close: r.Close}
+}
+
 // record records the outcome of the attempt in the history, the cluster and the planner.
 func (s *sender) record(res result) {
 	now := time.Now()
--- a/internal/forward/runner/subrequest.go
+++ b/internal/forward/runner/subrequest.go
@@ -125,15 +125,23 @@
 	s.send(r, now)
 }
 
-// recheckOrFail schedules a recheck if an upstream may accept the request soon. Otherwise the subrequest fails.
+// recheckOrFail schedules a recheck if an upstream may accept the request in time. Otherwise the subrequest fails.
 func (s *subrequest) recheckOrFail(now time.Time) {
-	if s.cluster.CanServe(s.route) {
+	if from, ok := s.cluster.CanServe(s.route); ok && from.Before(s.latestUse()) {
 		s.scheduleRecheck(now)
 		return
 	}
 	s.fail()
 }
 
+// latestUse returns the time after which an answer to the subrequest is of no use: the objective if the reply can do without it.
+func (s *subrequest) latestUse() time.Time {
+	if s.route.IsGather() && len(s.subrequests)-s.failed > s.required {
+		return s.plan.Objective
+	}
+	return s.plan.ReplyDeadline
+}
+
 // hedge sends another attempt if slow, the newest one in flight, is older than its hedge delay.
 func (s *subrequest) hedge(slow *attempt, now time.Time) {
 	if late := slow.start.Add(s.plan.HedgeDelay(slow.replica.Distance())); now.Before(late) {
@@ -243,10 +251,7 @@
 		defer cancel()
 		res := snd.run(ctx)
 		res.subrequest, res.attempt = s.index, index
-		select {
-		case s.results <- res:
-		case <-s.done:
-		}
+		s.deliver(res)
 	})
 }
 
@@ -262,18 +267,35 @@
 		a.outcome = res.err.Error()
 	case res.signals.NotRun || res.signals.IsMisdirected:
 		a.outcome, a.notRun = fmt.Sprintf("refused %d", res.response.Status), true
+		res.response.Free()
 	case s.isAcceptable(res):
 		s.complete(a, res)
 		return
 	default:
 		a.outcome = fmt.Sprintf("failed %d", res.response.Status)
-		if res.signals.Proof != "" && !impliesNotRun(res.response.Status) {
-			s.upstreamError = &res.response
-		}
+		s.keepError(res)
 	}
 	s.handleFailure(a, now)
 }
 
+// keepError keeps the latest failure that an upstream itself sent, which may become the reply.
+func (s *subrequest) keepError(res result) {
+	if res.signals.Proof == "" || impliesNotRun(res.response.Status) {
+		res.response.Free()
+		return
+	}
+	s.freeError()
+	s.upstreamError = &res.response
+}
+
+// freeError frees the failure that was kept, if any.
+func (s *subrequest) freeError() {
+	if s.upstreamError != nil {
+		s.upstreamError.Free()
+		s.upstreamError = nil
+	}
+}
+
 // isAcceptable reports whether the response answers the subrequest. A part must be a success. A response that goes to the
 // caller unchanged may be a server error only if the request must not run again.
 func (s *subrequest) isAcceptable(res result) bool {
@@ -300,6 +322,7 @@
 func (s *subrequest) complete(a *attempt, res result) {
 	a.outcome = "ok"
 	if s.isAnswered || s.hasFailed {
+		res.response.Free()
 		return
 	}
 	s.isAnswered = true
--- a/internal/query/balancer/balancer.go
+++ b/internal/query/balancer/balancer.go
@@ -24,6 +24,8 @@
 	StateCold
 	// StateShedding permits no attempts until the time that the upstream asked for has passed.
 	StateShedding
+	// StateLeaving permits first attempts and retries if no other replica can take them.
+	StateLeaving
 	// StateUnavailable permits no attempts: the upstream is draining, excluded or unknown.
 	StateUnavailable
 )
@@ -92,9 +94,9 @@
 	case Hedge:
 		return c.State == StateAvailable && !c.IsFull() && !c.Record.IsFailing(tailLatency)
 	case Retry:
-		return c.State == StateAvailable || (c.State == StateCold && !c.IsFull())
+		return c.State == StateAvailable || c.State == StateLeaving || (c.State == StateCold && !c.IsFull())
 	default:
-		return c.State == StateAvailable || c.State == StateCold
+		return c.State == StateAvailable || c.State == StateLeaving || c.State == StateCold
 	}
 }
 
@@ -127,9 +129,12 @@
 	return better(candidates, a, b, intn), true
 }
 
-// rank orders replicas by preference: 0 for ordinary ones, 1 for those that need a new connection, 2 for suspect and full ones.
+// rank orders replicas by preference: 0 for ordinary ones, 1 for those that need a new connection, 2 for suspect and full ones, 3 for
+// leaving ones.
 func (c *Candidate) rank(tailLatency time.Duration) int {
 	switch {
+	case c.State == StateLeaving:
+		return 3
 	case c.Record.IsSuspect(tailLatency), c.IsFull():
 		return 2
 	case c.Transient:
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -26,6 +26,8 @@
 	RequestID, Deadline, Target, Proof, NotRun, Load string
 	// Proofs and Missing are headers of merged answers: the proofs of their parts and the number of missing parts.
 	Proofs, Missing string
+	// Leaving is a header of all responses of a replica that is leaving.
+	Leaving string
 }
 
 // Arrival describes a request that reached an upstream.
@@ -97,6 +99,8 @@
 	fault        func(r *rand.Rand) Fault
 	unresponsive bool
 	shedShare    float64
+	isLeaving    bool
+	retryAfter   time.Duration
 }
 
 // New returns a replica with the given name.
@@ -141,6 +145,32 @@
 	p.unresponsive = unresponsive
 }
 
+// SetLeaving sets whether all responses state that the replica is leaving. It serves as before.
+func (p *Replica) SetLeaving(leaving bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isLeaving = leaving
+}
+
+// SetRetryAfter sets the pause that responses to refused requests ask for; 0 for none.
+func (p *Replica) SetRetryAfter(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retryAfter = d
+}
+
+// setState writes the headers that state whether the replica is leaving and, in a refusal, the pause that it asks for.
+func (p *Replica) setState(h http.Header, isRefusal bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isLeaving && p.options.Leaving != "" {
+		h.Set(p.options.Leaving, "1")
+	}
+	if isRefusal && p.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(p.retryAfter.Seconds(), 'f', -1, 64))
+	}
+}
+
 // Runs returns how often each request ran, by request ID.
 func (p *Replica) Runs() map[string]int {
 	p.mu.Lock()
@@ -167,6 +197,7 @@
 	time.Sleep(p.options.RTT)
 	id := r.Header.Get(p.options.RequestID)
 	w.Header().Set(p.options.RequestID, id)
+	p.setState(w.Header(), false)
 	if target := r.Header.Get(p.options.Target); target != "" && target != p.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -180,6 +211,7 @@
 	}
 	if !arrival.Ran {
 		w.Header().Set(p.options.NotRun, "1")
+		p.setState(w.Header(), true)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/upstream/catalog/catalog.go
+++ b/internal/upstream/catalog/catalog.go
@@ -19,6 +19,7 @@
 	"crocuswing/internal/stats/history"
 	"crocuswing/internal/task/pause"
 	"crocuswing/internal/upstream/cluster"
+	"crocuswing/internal/upstream/departure"
 	"crocuswing/internal/upstream/link"
 )
 
@@ -37,6 +38,7 @@
 type Catalog struct {
 	settings          deployment.Settings
 	history           *history.History
+	departures        *departure.Register
 	mu                sync.Mutex
 	clusters          map[string]*cluster.Cluster
 	serviceByUpstream map[string]string // name of the service by name of the upstream
@@ -58,6 +60,7 @@
 	c := &Catalog{
 		settings:          s,
 		history:           h,
+		departures:        departure.New(),
 		clusters:          make(map[string]*cluster.Cluster),
 		serviceByUpstream: make(map[string]string),
 		view:              &state.View{},
@@ -79,7 +82,8 @@
 func (c *Catalog) cluster(service string) *cluster.Cluster {
 	cl, ok := c.clusters[service]
 	if !ok {
-		cl = cluster.New(service, c.history, retrybudget.New(c.extraRatio(), c.extraSlack(), c.settings.ExtraWindow), cluster.WithInstance(c.settings.Instance))
+		cl = cluster.New(service, c.history, retrybudget.New(c.extraRatio(), c.extraSlack(), c.settings.ExtraWindow), cluster.WithInstance(c.settings.Instance), cluster.WithDepartures(c.departures))
+		cl.SetDrainTime(c.settings.DrainTime)
 		cl.SetSubsetFraction(c.subsetFraction(service))
 		cl.SetExcludedDomains(c.view.ExcludedDomains)
 		cl.SetColdRate(c.coldRate(service))
@@ -131,6 +135,7 @@
 	for name, cl := range c.clusters {
 		cl.SetBounds(c.extraRatio(), c.extraSlack())
 		cl.SetColdRate(c.coldRate(name))
+		cl.SetDrainTime(c.settings.DrainTime)
 		cl.SetSubsetFraction(c.subsetFraction(name))
 		for _, r := range cl.Replicas() {
 			r.Link().SetMaxConnections(c.connectionShare(name))
--- a/internal/upstream/cluster/cluster.go
+++ b/internal/upstream/cluster/cluster.go
@@ -1,7 +1,7 @@
 // Package cluster holds the upstreams of one service, its replicas, and picks the one for each attempt of the forward runner.
 //
-// It skips the replicas that must not receive requests: those that are draining, excluded, shedding load or at their cold rate.
-// Package balancer ranks the rest. A cluster also selects the subset of the replicas to which this instance keeps connections.
+// It skips the replicas that must not receive requests: those that are draining, excluded, shedding load or at their cold rate. One
+// that has announced that it is leaving is the last resort for a part of the drain time. Package balancer ranks the rest. A cluster also selects the subset of the replicas to which this instance keeps connections.
 package cluster
 
 import (
@@ -17,6 +17,7 @@
 	"crocuswing/internal/query/balancer"
 	"crocuswing/internal/routing/route"
 	"crocuswing/internal/stats/history"
+	"crocuswing/internal/upstream/departure"
 	"crocuswing/internal/upstream/link"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,6 +54,8 @@
 	replicas       []*Replica
 	excluded       map[string]bool // failure domains that receive no requests
 	coldRate       int             // requests per second of this instance to a cold replica; negative for no limit
+	departures     *departure.Register
+	drainTime      time.Duration // time for which a leaving upstream serves after its announcement
 	instance       string
 	subsetFraction float64 // fraction of the replicas to which this instance keeps connections
 	subsetUpdated  time.Time
@@ -64,9 +67,12 @@
 // WithInstance returns an option that sets the name of the instance, which determines the replicas to which it keeps connections.
 func WithInstance(name string) Option { return func(c *Cluster) { c.instance = name } }
 
+// WithDepartures returns an option that shares the announcements of leaving upstreams with other clusters.
+func WithDepartures(r *departure.Register) Option { return func(c *Cluster) { c.departures = r } }
+
 // New returns an empty cluster. Its extra attempts are taken from budget.
 func New(name string, h *history.History, budget *retrybudget.Budget, options ...Option) *Cluster {
-	c := &Cluster{name: name, history: h, Budget: budget, coldRate: -1, subsetFraction: 1}
+	c := &Cluster{name: name, history: h, Budget: budget, coldRate: -1, subsetFraction: 1, departures: departure.New()}
 	for _, option := range options {
 		option(c)
 	}
@@ -93,6 +99,14 @@
 	c.coldRate = perSecond
 }
 
+// SetDrainTime sets the time for which an upstream still serves after it has announced that it is leaving. With 0, the default, it
+// receives nothing after the announcement.
+func (c *Cluster) SetDrainTime(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drainTime = d
+}
+
 // SetSubsetFraction sets the fraction of the replicas to which this instance keeps connections, at least one replica. Each
 // attempt on a replica outside this subset opens its own connection.
 func (c *Cluster) SetSubsetFraction(fraction float64) {
@@ -115,7 +129,10 @@
 		c.updateSubset(now)
 		return
 	}
-	fresh := &Replica{registration: r, region: region, distance: d, link: open(), coldUntil: now.Add(r.Cold), load: -1}
+	fresh := &Replica{
+		registration: r, region: region, distance: d, link: open(), departure: c.departures.Open(r.Upstream, r.Incarnation),
+		coldUntil: now.Add(r.Cold), load: -1,
+	}
 	if i >= 0 {
 		c.replicas[i].link.Close()
 		c.replicas[i] = fresh
@@ -135,9 +152,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if i := c.index(upstream); i >= 0 {
+		now := time.Now()
 		c.replicas[i].link.Close()
 		c.replicas = slices.Delete(c.replicas, i, i+1)
-		c.updateSubset(time.Now())
+		c.departures.Release(upstream, now)
+		c.updateSubset(now)
 	}
 }
 
@@ -191,7 +210,8 @@
 
 // isUsable reports whether it is worth keeping connections to the replica.
 func (c *Cluster) isUsable(r *Replica, now time.Time) bool {
-	return !c.excluded[r.registration.FailureDomain] && r.state(now) != balancer.StateUnavailable && !r.isDown(now) &&
+	state := r.state(now, c.drainTime)
+	return !c.excluded[r.registration.FailureDomain] && state != balancer.StateUnavailable && state != balancer.StateLeaving && !r.isDown(now) &&
 		c.history.Get(r.Name(), now).Misses < failingMisses
 }
 
@@ -255,7 +275,7 @@
 	record.OldestAge = max(0, record.OldestAge-timing.ExtraLatency[r.distance])
 	return balancer.Candidate{
 		Upstream:  r.Name(),
-		State:     r.state(now),
+		State:     r.state(now, c.drainTime),
 		Distance:  r.distance,
 		Transient: r.transient,
 		Load:      r.load,
@@ -265,17 +285,28 @@
 	}
 }
 
+// MaySend reports whether a replica that Pick returned may still receive the request. An upstream may have announced that it is
+// leaving, or asked for a pause, while the request waited for a connection.
+func (c *Cluster) MaySend(r *Replica) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	return !c.excluded[r.registration.FailureDomain] && r.state(now, c.drainTime) != balancer.StateUnavailable && !r.isPaused(now)
+}
+
 // Signals is the state of an upstream as reported in a response.
 type Signals struct {
 	// NotRun reports whether the upstream stated that it did not run the request.
 	NotRun bool
 	// IsMisdirected reports whether the address now belongs to another upstream.
 	IsMisdirected bool
-	// Draining reports whether the upstream accepts no new requests.
-	Draining bool
+	// IsLeaving reports whether the upstream announced that it is leaving.
+	IsLeaving bool
+	// Responder is the name of the upstream that sent the response, if the response states it.
+	Responder string
 	// Load is the number of running and queued requests relative to the slots; negative if unknown.
 	Load float64
-	// RetryAfter is the pause that the upstream requested; 0 if none.
+	// RetryAfter is the pause that the upstream requested when it turned the request away; 0 if none.
 	RetryAfter time.Duration
 	// Proof proves that the upstream itself produced the response; empty if there is none.
 	Proof string
@@ -322,13 +353,35 @@
 	if s.Load >= 0 {
 		r.load, r.loadAt = s.Load, now
 	}
+	c.recordDeparture(r, s, now)
 	switch {
 	case s.IsMisdirected:
 		r.misdirected = true
-	case s.Draining:
-		r.drainingUntil = now.Add(drainHold)
+		return
 	case s.NotRun:
-		r.pauseAfterShed(now, s.RetryAfter)
+		r.pauseAfterShed(now)
+	}
+	if s.RetryAfter > 0 {
+		r.pauseFor(now, s.RetryAfter)
+	}
+}
+
+// RecordDeparture records the announcement in a response that is unusable for its request.
+func (c *Cluster) RecordDeparture(r *Replica, s Signals) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordDeparture(r, s, time.Now())
+}
+
+// recordDeparture attributes an announcement to the upstream that sent the response, which differs from the replica if the address
+// now belongs to another one.
+func (c *Cluster) recordDeparture(r *Replica, s Signals, now time.Time) {
+	switch {
+	case !s.IsLeaving:
+	case !s.IsMisdirected:
+		r.departure.Announce(now)
+	case s.Responder != "":
+		c.departures.Announce(s.Responder, now)
 	}
 }
 
@@ -342,7 +395,8 @@
 		if opened == limit {
 			break
 		}
-		if r.transient || c.excluded[r.registration.FailureDomain] || r.state(now) == balancer.StateUnavailable || now.Sub(r.preconnectedAt) < preconnectRetryInterval {
+		state := r.state(now, c.drainTime)
+		if r.transient || c.excluded[r.registration.FailureDomain] || state == balancer.StateUnavailable || state == balancer.StateLeaving || now.Sub(r.preconnectedAt) < preconnectRetryInterval {
 			continue
 		}
 		r.preconnectedAt = now
@@ -353,14 +407,15 @@
 	return opened
 }
 
-// CanServe reports whether a replica can accept a request of the route now or soon.
-func (c *Cluster) CanServe(rt *route.Route) bool {
-	return c.anyReplica(rt, func(*Replica, time.Time) bool { return true })
+// CanServe returns the time from which a replica accepts requests of the route, and false if no replica will soon. The time is in the
+// past unless all of these replicas have requested a pause.
+func (c *Cluster) CanServe(rt *route.Route) (from time.Time, ok bool) {
+	return c.firstAvailable(rt, func(*Replica, time.Time) bool { return true })
 }
 
-// CanServeNow reports whether a replica can accept a request of the route without a wait for the rate limit of cold replicas.
-func (c *Cluster) CanServeNow(rt *route.Route) bool {
-	return c.anyReplica(rt, c.hasColdCapacity)
+// CanServeNow is like CanServe, but leaves out the cold replicas that have reached their rate limit.
+func (c *Cluster) CanServeNow(rt *route.Route) (from time.Time, ok bool) {
+	return c.firstAvailable(rt, c.hasColdCapacity)
 }
 
 // hasColdCapacity reports whether the replica is not cold or its cold rate permits another request now.
@@ -368,12 +423,18 @@
 	return c.coldRate < 0 || !r.isCold(now) || r.isWithinColdRate(now, c.coldRate)
 }
 
-// anyReplica reports whether a replica can accept requests of the route and satisfies match.
-func (c *Cluster) anyReplica(rt *route.Route, match func(r *Replica, now time.Time) bool) bool {
+// firstAvailable returns the earliest end of a pause among the replicas that can accept requests of the route and satisfy match.
+func (c *Cluster) firstAvailable(rt *route.Route, match func(r *Replica, now time.Time) bool) (from time.Time, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	return slices.ContainsFunc(c.replicas, func(r *Replica) bool {
-		return c.isAllowed(r, rt) && r.state(now) != balancer.StateUnavailable && !r.isDown(now) && match(r, now)
-	})
+	for _, r := range c.replicas {
+		if !c.isAllowed(r, rt) || r.state(now, c.drainTime) == balancer.StateUnavailable || r.isDown(now) || !match(r, now) {
+			continue
+		}
+		if !ok || r.pausedUntil.Before(from) {
+			from, ok = r.pausedUntil, true
+		}
+	}
+	return from, ok
 }
--- a/internal/upstream/cluster/cluster_test.go
+++ b/internal/upstream/cluster/cluster_test.go
@@ -36,6 +36,11 @@
 	return r.Name(), true
 }
 
+func canServe(c *Cluster) bool {
+	_, ok := c.CanServe(&route.Route{})
+	return ok
+}
+
 // TestPickSkipsUnavailable checks that Pick returns no upstream that must not receive requests.
 func TestPickSkipsUnavailable(t *testing.T) {
 	draining := registration.Registration{Upstream: "a", Address: "a", FailureDomain: "d", Draining: true, Sequence: 2}
@@ -47,7 +52,7 @@
 		{name: "failure domain is excluded", change: func(c *Cluster, _ *Replica) { c.SetExcludedDomains(map[string]bool{"d": true}) }},
 		{name: "region is not allowed", route: route.Route{Regions: []string{"q"}}, change: func(*Cluster, *Replica) {}},
 		{name: "draining", change: func(c *Cluster, _ *Replica) { put(c, draining) }},
-		{name: "response reports draining", change: func(c *Cluster, r *Replica) { c.RecordSignals(r, Signals{Draining: true, Load: -1}) }},
+		{name: "response reports draining", change: func(c *Cluster, r *Replica) { c.RecordSignals(r, Signals{IsLeaving: true, Load: -1}) }},
 		{name: "address belongs to another upstream", change: func(c *Cluster, r *Replica) { c.RecordSignals(r, Signals{IsMisdirected: true, NotRun: true, Load: -1}) }},
 		{name: "has just shed a request", change: func(c *Cluster, r *Replica) { c.RecordSignals(r, Signals{NotRun: true, Load: -1}) }},
 		{name: "refused a connection", change: func(c *Cluster, r *Replica) { c.RecordOutcome(r, Unreachable) }},
@@ -99,13 +104,13 @@
 			}
 			require.Equal(t, want*time.Millisecond, time.Since(start))
 		}
-		require.True(t, c.CanServe(&route.Route{}))
+		require.True(t, canServe(c))
 		c.RecordOutcome(r, Unreachable)
-		require.False(t, c.CanServe(&route.Route{}))
+		require.False(t, canServe(c))
 		time.Sleep(2 * time.Second)
 		c.RecordOutcome(r, Succeeded)
 		c.RecordOutcome(r, Unreachable)
-		require.True(t, c.CanServe(&route.Route{}), "one refused connection may be a restart")
+		require.True(t, canServe(c), "one refused connection may be a restart")
 	})
 }
 
--- a/internal/upstream/cluster/replica.go
+++ b/internal/upstream/cluster/replica.go
@@ -8,14 +8,18 @@
 
 	"crocuswing/internal/published/registration"
 	"crocuswing/internal/query/balancer"
+	"crocuswing/internal/upstream/departure"
 	"crocuswing/internal/upstream/link"
 )
 
 const (
 	// minShedPause is the minimum pause after an upstream shed a request; it exceeds a few service times of a busy upstream.
 	minShedPause = 20 * time.Millisecond
-	// drainHold is how long an upstream counts as draining after a response that says so, unless its registration confirms it.
-	drainHold = 2 * time.Second
+	// maxResumeSpread is the longest time by which instances differ in when they end a pause that an upstream requested.
+	maxResumeSpread = 500 * time.Millisecond
+	// lastResortShare is the share of the drain time for which a leaving upstream may still receive requests that no other can take.
+	// The rest of the drain time covers requests that wait for a connection.
+	lastResortShare = 0.5
 	// firstBackoff and maxBackoff are the first and the longest pause after refused connections. A process takes at least about
 	// firstBackoff to restart.
 	firstBackoff = 100 * time.Millisecond
@@ -37,9 +41,10 @@
 	distance           balancer.Distance
 	region             string
 	link               *link.Link
+	departure          *departure.Departure
 	coldUntil          time.Time
-	shedUntil          time.Time
-	drainingUntil      time.Time
+	shedUntil          time.Time // end of the pause after a shed request
+	pausedUntil        time.Time // end of the pause that the upstream requested
 	load               float64
 	loadAt             time.Time
 	misdirected        bool      // the address belongs to another upstream
@@ -73,22 +78,41 @@
 	return now.Before(r.coldUntil) || now.Before(r.assumedColdUntil)
 }
 
-func (r *Replica) state(now time.Time) balancer.State {
+// state returns the state of the replica. drainTime is the time for which a leaving upstream serves after its announcement.
+func (r *Replica) state(now time.Time, drainTime time.Duration) balancer.State {
+	announced, leaving := r.departure.Announced()
+	lastResort := time.Duration(lastResortShare * float64(drainTime))
 	switch {
-	case r.misdirected || r.registration.Draining || now.Before(r.drainingUntil):
+	case r.misdirected || r.registration.Draining || (leaving && now.Sub(announced) >= lastResort):
 		return balancer.StateUnavailable
-	case now.Before(r.shedUntil), now.Before(r.backoffUntil):
+	case r.isPaused(now), now.Before(r.shedUntil), now.Before(r.backoffUntil):
 		return balancer.StateShedding
+	case leaving:
+		return balancer.StateLeaving
 	case r.isCold(now):
 		return balancer.StateCold
 	}
 	return balancer.StateAvailable
 }
 
-// pauseAfterShed starts a pause of random length, so that the instances do not all resume at the same time.
-func (r *Replica) pauseAfterShed(now time.Time, wait time.Duration) {
-	wait = max(wait, minShedPause)
-	r.shedUntil = now.Add(wait + rand.N(wait))
+// isPaused reports whether the upstream wants no requests yet.
+func (r *Replica) isPaused(now time.Time) bool { return now.Before(r.pausedUntil) }
+
+// pauseAfterShed starts a short pause of random length, so that the instances do not all resume at the same time.
+func (r *Replica) pauseAfterShed(now time.Time) {
+	r.shedUntil = later(r.shedUntil, now.Add(minShedPause+rand.N(minShedPause)))
+}
+
+// pauseFor starts a pause that the upstream requested, with a random addition. It never shortens an earlier one.
+func (r *Replica) pauseFor(now time.Time, wait time.Duration) {
+	r.pausedUntil = later(r.pausedUntil, now.Add(wait+rand.N(min(wait, maxResumeSpread))))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // isWithinColdRate reports whether a cold replica may receive another request within its rate.
--- a/internal/upstream/signal/signal.go
+++ b/internal/upstream/signal/signal.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"crocuswing/internal/upstream/retryafter"
 	"crocuswing/internal/wire/header"
 )
 
@@ -40,9 +41,9 @@
 		s.Load = load
 	}
 	if wait, err := strconv.Atoi(h.Get(header.RetryAfterMS)); err == nil && wait > 0 {
-		s.RetryAfter = time.Duration(wait) * time.Millisecond
-	} else if wait, err := strconv.Atoi(h.Get("Retry-After")); err == nil && wait > 0 {
-		s.RetryAfter = time.Duration(wait) * time.Second
+		s.RetryAfter = time.Duration(min(wait, int(retryafter.Max.Milliseconds()))) * time.Millisecond
+	} else {
+		s.RetryAfter = retryafter.Parse(h, time.Now())
 	}
 	return s
 }
