--- a/internal/peer/client/client.go
+++ b/internal/peer/client/client.go
@@ -14,6 +14,7 @@
 	"crocuswing/internal/network/socket"
 	"crocuswing/internal/peer/frame"
 	"crocuswing/internal/peer/handshake"
+	"crocuswing/internal/wire/nesting"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -117,6 +118,9 @@
 	if got.Kind == frame.KindRefusal {
 		return &RefusedError{Reason: string(got.Body), Leaving: got.Value == frame.CodeLeaving}
 	}
+	if err := nesting.Check(got.Body); err != nil {
+		return err
+	}
 	return msgpack.Unmarshal(got.Body, reply)
 }
 
--- a/internal/peer/server/session.go
+++ b/internal/peer/server/session.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"crocuswing/internal/peer/frame"
+	"crocuswing/internal/wire/nesting"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -164,7 +165,10 @@
 	if !ok {
 		return refusal(m.ID, frame.CodeNoMethod, "there is no method "+m.Method)
 	}
-	value, err := handler(ctx, m.Body)
+	value, err := any(nil), nesting.Check(m.Body)
+	if err == nil {
+		value, err = handler(ctx, m.Body)
+	}
 	if err != nil {
 		return refusal(m.ID, frame.CodeMethod, err.Error())
 	}
--- a/internal/published/follower/follower.go
+++ b/internal/published/follower/follower.go
@@ -60,6 +60,7 @@
 	started   time.Time
 	failures  int
 	hasView   bool
+	invalid   invalidItems
 }
 
 // Option configures a Follower.
@@ -195,11 +196,14 @@
 	return wait/2 + rand.N(wait/2+1)
 }
 
-// notify logs the rejected changes and passes the new view to the observer.
+// notify counts the rejected changes, logs those that cannot be decoded, and passes the new view to the observer.
 func (f *Follower) notify(v *state.View, rejected []change.Change) {
 	for _, c := range rejected {
 		f.count("crocuswing_store_refused_items_total")
-		f.log.Debug("item refused", zap.String("name", c.Name), zap.Error(c.Err))
+		if c.Err != nil {
+			f.invalid.add(c)
+		}
 	}
+	f.invalid.log(f.log, time.Now())
 	f.onView(v)
 }
--- a/internal/published/state/state.go
+++ b/internal/published/state/state.go
@@ -137,6 +137,9 @@
 	case change.KindTable:
 		return s.applyTable(c)
 	case change.KindDomain:
+		if c.Err != nil {
+			return false, false
+		}
 		isNew = s.excludedDomains[c.Name] == c.Removed
 		if c.Removed {
 			delete(s.excludedDomains, c.Name)
