feat(forward): aggregators in other regions gather the parts of distant shards

An instance of a region that has these servers now gathers them and sends one merged answer with the proofs. It sends at most all attempts of a shard but one, to servers of its region, and does not hedge: it replies when each part has arrived or is late; the instance that asked hedges, and a second call brings the late parts. One that is silent is out of use after one miss.

--- a/internal/experiment/testbed/testbed.go
+++ b/internal/experiment/testbed/testbed.go
@@ -44,12 +44,14 @@
 	DialLatency = 6 * time.Millisecond
 	// MaxConnections is the number of connections that an upstream accepts.
 	MaxConnections = 26
+)
 
-	// Domain is the failure domain of the instance.
-	Domain = "d"
-	region = "r"
-	// otherDomain is a failure domain of another region.
-	otherDomain = "e"
+// Failure domains and regions of the instance and of the distant upstreams.
+const (
+	Domain      = "d"
+	Region      = "r"
+	OtherDomain = "e"
+	OtherRegion = "q"
 )
 
 // Testbed holds the upstreams of one instance and its view of them.
@@ -86,7 +88,7 @@
 	}
 	v.Table = table.New(1, []route.Route{topo.Route}, services, limits.Limits{})
 	t.Published = v
-	settings := deployment.Settings{FailureDomain: Domain, Region: region, Regions: map[string]string{Domain: region, otherDomain: "q"}, Bounds: topo.Bounds}
+	settings := deployment.Settings{FailureDomain: Domain, Region: Region, Regions: map[string]string{Domain: Region, OtherDomain: OtherRegion}, Bounds: topo.Bounds}
 	t.History = history.New()
 	t.Catalog = catalog.New(settings, t.History, catalog.WithLinkOptions(link.WithDial(t.Net.Dial)))
 	t.Catalog.SetInstanceCount(1)
@@ -99,7 +101,7 @@
 	id := fmt.Sprintf("%s-%d", name, index)
 	options, domain := topo.Options, Domain
 	if index > 0 && topo.RemoteRTT > 0 {
-		options.RTT, domain = topo.RemoteRTT, otherDomain
+		options.RTT, domain = topo.RemoteRTT, OtherDomain
 	}
 	p := replica.New(id, options)
 	t.Replicas[name] = append(t.Replicas[name], p)
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -55,6 +55,8 @@
 	// Incarnation is the start time of the process in Unix nanoseconds. Heartbeat increases while the process runs.
 	Incarnation int64  `msgpack:"i"`
 	Heartbeat   uint64 `msgpack:"h"`
+	// FailureDomain is empty in the entries of instances of former releases.
+	FailureDomain string `msgpack:"d,omitempty"`
 }
 
 // Message is both the request and the reply of a gossip exchange.
@@ -97,6 +99,13 @@
 	}
 }
 
+// SetFailureDomain sets the failure domain that the entry of this instance states.
+func (ms *Membership) SetFailureDomain(name string) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	ms.self.FailureDomain = name
+}
+
 // SetSeeds replaces the addresses that are called to discover other instances.
 func (ms *Membership) SetSeeds(seeds []string) {
 	ms.mu.Lock()
--- /dev/null
+++ b/internal/forward/aggregator/message.go
@@ -0,0 +1,73 @@
+package aggregator
+
+import (
+	"math/bits"
+	"net/http"
+)
+
+const (
+	// Method is the name of the call that asks another instance to gather parts.
+	Method = "aggregate"
+	// RestMethod is the name of the call for the parts that were late in the reply to Method.
+	RestMethod = "aggregate-rest"
+)
+
+// Request asks an instance to gather the parts of some shards of a request. The caller's request travels unchanged.
+type Request struct {
+	ID     string `msgpack:"i"`
+	Method string `msgpack:"m"`
+	// Target is the request target as the caller sent it, Path is its decoded path.
+	Target string      `msgpack:"t"`
+	Path   string      `msgpack:"p"`
+	Host   string      `msgpack:"h"`
+	Header http.Header `msgpack:"e"`
+	Body   []byte      `msgpack:"b,omitempty"`
+	// Revision is the configuration revision whose shards are meant. An instance with another revision refuses.
+	Revision int64 `msgpack:"r"`
+	// Shards is the set of shards by their index in the route.
+	Shards Set `msgpack:"s"`
+	// TimeLeftUS is the time in microseconds for which the caller waits.
+	TimeLeftUS int64 `msgpack:"l"`
+}
+
+// Reply holds the parts that have arrived, merged.
+type Reply struct {
+	// Answered is the set of shards whose parts are in Records; Proofs lists their proofs in the order of the shards.
+	Answered Set      `msgpack:"a"`
+	Proofs   []string `msgpack:"p"`
+	// Records are the greatest records of these parts, in descending order.
+	Records []byte `msgpack:"b"`
+	// Sent is the set of the other shards of which an upstream may have received the request. Late is the set of those among them whose
+	// attempts continue; RestMethod returns their parts.
+	Sent Set `msgpack:"s,omitempty"`
+	Late Set `msgpack:"l,omitempty"`
+}
+
+// RestRequest asks for the parts that were late in the reply to the request with this identifier.
+type RestRequest struct {
+	ID string `msgpack:"i"`
+}
+
+// Set is a set of small integers as a bitmap.
+type Set []byte
+
+// With returns the set with n added. The receiver must not be used any more.
+func (s Set) With(n int) Set {
+	for len(s) <= n/8 {
+		s = append(s, 0)
+	}
+	s[n/8] |= 1 << (n % 8)
+	return s
+}
+
+// Has reports whether n is in the set.
+func (s Set) Has(n int) bool { return n >= 0 && n/8 < len(s) && s[n/8]&(1<<(n%8)) != 0 }
+
+// Len returns the number of integers in the set.
+func (s Set) Len() int {
+	n := 0
+	for _, b := range s {
+		n += bits.OnesCount8(b)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/forward/runner/delegation.go
@@ -0,0 +1,294 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"crocuswing/internal/fleet/membership"
+	"crocuswing/internal/forward/aggregator"
+	"crocuswing/internal/peer/client"
+	"crocuswing/internal/query/balancer"
+	"crocuswing/internal/upstream/connection"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// minDelegatedShards is the number of shards from which one merged answer of an aggregator takes fewer bytes than the parts themselves, also
+// if these are small.
+const minDelegatedShards = 2
+
+// Aggregators selects instances of other regions and asks them for parts.
+type Aggregators interface {
+	Pick(region, requestID string) (membership.Member, bool)
+	// Gather fails with *client.UnsentError or *client.RefusedError if no upstream has received anything.
+	Gather(ctx context.Context, m membership.Member, q aggregator.Request) (aggregator.Reply, error)
+	// Rest asks for the parts that were late in the reply to Gather.
+	Rest(ctx context.Context, m membership.Member, id string, late aggregator.Set) (aggregator.Reply, error)
+	Answered(m membership.Member)
+	Missed(m membership.Member)
+}
+
+// delegation is the shards of a request whose parts an aggregator gathers.
+type delegation struct {
+	*execution
+	region     string
+	instance   membership.Member
+	members    []*subrequest
+	cancelCall context.CancelFunc
+	start      time.Time
+	lateAt     time.Time // when its shards fall back to attempts of this instance; zero if they have or need not
+	// isGivenUp reports whether the shards have fallen back before the result.
+	isGivenUp bool
+	hasEnded  bool
+	outcome   string
+	took      time.Duration
+}
+
+// delegationResult is the outcome of the call to an aggregator.
+type delegationResult struct {
+	delegation *delegation
+	isRest     bool // of the call for the late parts
+	reply      aggregator.Reply
+	err        error
+}
+
+// delegateShards asks aggregators for the parts of the shards without a usable upstream in this region.
+func (e *execution) delegateShards(now time.Time) {
+	if !e.mayDelegate(now) {
+		return
+	}
+	shardsByRegion := make(map[string][]*subrequest)
+	for _, s := range e.subrequests {
+		var buf [4]string
+		regions, isNear := s.cluster.AppendRegions(buf[:0], e.route, s.timing())
+		if isNear {
+			continue
+		}
+		for _, region := range regions {
+			shardsByRegion[region] = append(shardsByRegion[region], s)
+		}
+	}
+	for len(shardsByRegion) > 0 {
+		region := e.largestRegion(shardsByRegion)
+		members := shardsByRegion[region]
+		delete(shardsByRegion, region)
+		var free []*subrequest
+		for _, s := range members {
+			if s.delegation == nil {
+				free = append(free, s)
+			}
+		}
+		if len(free) < minDelegatedShards {
+			continue
+		}
+		if instance, ok := e.aggregators.Pick(region, e.request.ID); ok {
+			e.startDelegation(region, instance, free, now)
+		}
+	}
+}
+
+// mayDelegate reports whether aggregators may be asked: each shard needs an attempt for the fallback, and the time for it.
+func (e *execution) mayDelegate(now time.Time) bool {
+	return e.aggregators != nil && !e.isAggregate && e.route.IsGather() && e.route.MaxAttempts >= 2 &&
+		e.plan.Objective.Sub(now) >= e.plan.AggregateDelay+e.plan.HedgeDelay(balancer.OtherRegion)
+}
+
+// hasNearReplica reports whether an upstream of this region can be expected to answer the subrequest in time.
+func (s *subrequest) hasNearReplica() bool {
+	var buf [4]string
+	_, isNear := s.cluster.AppendRegions(buf[:0], s.route, s.timing())
+	return isNear
+}
+
+// largestRegion returns the region with the most shards that are not delegated yet. Requests choose among equal ones by hash.
+func (e *execution) largestRegion(shardsByRegion map[string][]*subrequest) string {
+	best, bestCount, bestHash := "", -1, uint64(0)
+	for region, members := range shardsByRegion {
+		count := 0
+		for _, s := range members {
+			if s.delegation == nil {
+				count++
+			}
+		}
+		hash := xxhash.Sum64String(region + " " + e.request.ID)
+		if count > bestCount || (count == bestCount && hash > bestHash) {
+			best, bestCount, bestHash = region, count, hash
+		}
+	}
+	return best
+}
+
+func (e *execution) startDelegation(region string, instance membership.Member, members []*subrequest, now time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), e.plan.Deadline)
+	d := &delegation{
+		execution: e, region: region, instance: instance, members: members, cancelCall: cancel, start: now, lateAt: now.Add(e.plan.AggregateDelay),
+	}
+	e.delegations = append(e.delegations, d)
+	q := aggregator.Request{
+		ID: e.request.ID, Method: e.request.Method, Target: e.request.Target, Path: e.request.Path, Host: e.request.Host,
+		Header: e.request.Header, Body: e.request.Body, Revision: e.revision, TimeLeftUS: e.plan.Deadline.Sub(now).Microseconds(),
+	}
+	for _, s := range members {
+		s.delegation, s.delegatedRegion, s.isSentByAggregator = d, region, true // until the outcome of the call shows otherwise
+		q.Shards = q.Shards.With(s.index)
+	}
+	e.meter.Count("crocuswing_aggregates_asked_total")
+	e.inFlight.Go(func() {
+		defer cancel()
+		res := delegationResult{delegation: d}
+		res.reply, res.err = e.aggregators.Gather(ctx, instance, q)
+		d.deliver(res)
+	})
+}
+
+// advance lets the shards fall back if the aggregator has not answered in time. A result that arrives later is still used.
+func (d *delegation) advance(now time.Time) {
+	if d.lateAt.IsZero() || now.Before(d.lateAt) {
+		return
+	}
+	d.lateAt, d.isGivenUp, d.outcome = time.Time{}, true, "silent"
+	d.meter.Count("crocuswing_aggregates_late_total")
+	d.aggregators.Missed(d.instance)
+	for _, s := range d.members {
+		s.fallBack(now)
+	}
+}
+
+// handleResult records the parts that the aggregator has gathered, and asks for those that are late. Its other shards fall back.
+func (d *delegation) handleResult(res delegationResult, now time.Time) {
+	if res.isRest {
+		if res.err == nil {
+			d.complete(res.reply)
+		}
+		return
+	}
+	d.hasEnded, d.lateAt, d.took = true, time.Time{}, now.Sub(d.start)
+	if res.err != nil {
+		d.handleError(res.err)
+	} else {
+		d.outcome = fmt.Sprintf("%d of %d", res.reply.Answered.Len(), len(d.members))
+		d.planner.RecordAggregate(d.route.Name, d.took)
+		if !d.isGivenUp {
+			d.aggregators.Answered(d.instance)
+		}
+		d.complete(res.reply)
+		d.callRest(res.reply.Late)
+	}
+	if d.isGivenUp {
+		return // the shards have fallen back already
+	}
+	for _, s := range d.members {
+		s.fallBack(now)
+	}
+}
+
+// callRest asks for the late parts, in addition to the attempts of this instance on their shards.
+func (d *delegation) callRest(late aggregator.Set) {
+	if late.Len() == 0 {
+		return
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), d.plan.Deadline)
+	d.cancelCall()
+	d.cancelCall = cancel
+	d.inFlight.Go(func() {
+		defer cancel()
+		res := delegationResult{delegation: d, isRest: true}
+		res.reply, res.err = d.aggregators.Rest(ctx, d.instance, d.request.ID, late)
+		d.deliver(res)
+	})
+}
+
+// deliver passes on a result unless results are no longer received.
+func (d *delegation) deliver(res delegationResult) {
+	select {
+	case d.delegationResults <- res:
+	case <-d.done:
+	}
+}
+
+func (d *delegation) handleError(err error) {
+	d.outcome = err.Error()
+	d.aggregators.Missed(d.instance)
+	var unsent *client.UnsentError
+	var refused *client.RefusedError
+	if !errors.As(err, &unsent) && !errors.As(err, &refused) {
+		return
+	}
+	d.meter.Count("crocuswing_aggregates_refused_total")
+	for _, s := range d.members {
+		s.isSentByAggregator = false
+	}
+}
+
+// complete records the merged parts. They replace the parts of the same shards that attempts of this instance have got meanwhile, since
+// the records of single shards cannot be taken out of the merged ones.
+func (d *delegation) complete(r aggregator.Reply) {
+	records := r.Records
+	proofs := r.Proofs
+	for _, s := range d.members {
+		if !r.Answered.Has(s.index) {
+			s.isSentByAggregator = s.isSentByAggregator && r.Sent.Has(s.index)
+			continue
+		}
+		s.completeFromAggregator(connection.Response{Body: records}, proofs[0])
+		records, proofs = nil, proofs[1:]
+	}
+}
+
+// describe appends the outcome to b.
+func (d *delegation) describe(b *strings.Builder) {
+	outcome := d.outcome
+	if !d.hasEnded {
+		d.took = time.Since(d.start)
+		outcome += " open"
+	}
+	fmt.Fprintf(b, "via %s:%s/%dms ", d.instance.Name, outcome, d.took.Milliseconds())
+}
+
+// fallBack lets the shard continue with attempts of this instance, unless it has its part.
+func (s *subrequest) fallBack(now time.Time) {
+	s.delegation = nil
+	if s.isAnswered || s.hasFailed {
+		return
+	}
+	s.advance(now)
+}
+
+// completeFromAggregator records that the part of the shard is in the merged parts of an aggregator.
+func (s *subrequest) completeFromAggregator(r connection.Response, proof string) {
+	if s.hasFailed {
+		s.hasFailed = false
+		s.failed--
+	}
+	if !s.isAnswered {
+		s.isAnswered = true
+		s.answered++
+	}
+	s.dueAt = time.Time{}
+	s.response, s.proof = r, proof
+}
+
+// sendAfterDelegation sends the first attempt of this instance on a shard whose part an aggregator has not got in time. It prefers upstreams
+// in other regions than the aggregator's, since that may have sent the request to the ones near it.
+func (s *subrequest) sendAfterDelegation(now time.Time) {
+	r, ok := s.cluster.Pick(balancer.Retry, s.route, s.cluster.Names(s.delegatedRegion, true), s.timing())
+	if !ok {
+		r, ok = s.cluster.Pick(balancer.Retry, s.route, nil, s.timing())
+	}
+	if !ok {
+		s.recheckOrFail(now)
+		return
+	}
+	spend := s.cluster.SpendAboveReserve
+	if s.answered < s.required {
+		spend = s.cluster.Spend
+	}
+	if !s.allowExtra(spend) {
+		s.scheduleRecheck(now)
+		return
+	}
+	s.send(r, now)
+}
--- /dev/null
+++ b/internal/forward/runner/delegation_test.go
@@ -0,0 +1,298 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"crocuswing/internal/experiment/testbed"
+	"crocuswing/internal/fleet/membership"
+	"crocuswing/internal/forward/aggregator"
+	"crocuswing/internal/forward/merge"
+	"crocuswing/internal/operator/metric"
+	"crocuswing/internal/peer/client"
+	"crocuswing/internal/settings/deployment"
+	"crocuswing/internal/standin/replica"
+	"crocuswing/internal/stats/history"
+	"crocuswing/internal/upstream/catalog"
+	"crocuswing/internal/upstream/link"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+)
+
+// crossing is the one-way latency between the regions.
+const crossing = 8 * time.Millisecond
+
+// regions is a harness with a second instance in the other region, which has the only upstreams of a third of the shards.
+type regions struct {
+	*harness
+	other *Runner
+	// call replaces the call to the other instance if it is set.
+	call  func(ctx context.Context, q aggregator.Request) (aggregator.Reply, error)
+	asked atomic.Int64
+	// avoidedUntil is the end of the pause after a miss.
+	avoidedUntil atomic.Pointer[time.Time]
+}
+
+func newRegions(t *testing.T) *regions {
+	s := lookupShape()
+	s.RemoteRTT = 2 * crossing
+	s.PauseEvery = 0
+	h := newHarness(t, s)
+	settings := deployment.Settings{
+		FailureDomain: testbed.OtherDomain, Region: testbed.OtherRegion, Bounds: s.Bounds,
+		Regions: map[string]string{testbed.Domain: testbed.Region, testbed.OtherDomain: testbed.OtherRegion},
+	}
+	otherHistory := history.New()
+	otherCatalog := catalog.New(settings, otherHistory, catalog.WithLinkOptions(link.WithDial(h.Net.Dial)))
+	otherCatalog.SetInstanceCount(2)
+	h.Catalog.SetInstanceCount(2)
+	upstreams := maps.Clone(h.Published.Upstreams)
+	for name := range upstreams {
+		if isDistant(name[:3]) && strings.HasSuffix(name, "-0") {
+			delete(upstreams, name)
+		}
+	}
+	former := h.Published
+	h.publish(upstreams)
+	v := *former
+	v.Upstreams = upstreams
+	otherCatalog.Update(&v)
+	r := &regions{harness: h}
+	r.other = New(h, otherCatalog, h, otherHistory, metric.New(), zap.NewNop(), WithAggregators(testbed.OtherRegion, nil))
+	r.runner = New(h, h.Catalog, h, h.History, metric.New(), zap.NewNop(), WithAggregators(testbed.Region, r))
+	return r
+}
+
+// isDistant reports whether the shard has upstreams in the other region only.
+func isDistant(shard string) bool { return shard[2]%3 == 0 }
+
+func (r *regions) Pick(region, _ string) (membership.Member, bool) {
+	until := r.avoidedUntil.Load()
+	return membership.Member{Name: "other"}, region == testbed.OtherRegion && (until == nil || time.Now().After(*until))
+}
+
+func (r *regions) Rest(ctx context.Context, _ membership.Member, id string, _ aggregator.Set) (aggregator.Reply, error) {
+	time.Sleep(crossing)
+	defer time.Sleep(crossing)
+	return r.other.AggregateRest(ctx, aggregator.RestRequest{ID: id})
+}
+
+func (r *regions) Answered(membership.Member) { r.avoidedUntil.Store(nil) }
+
+func (r *regions) Missed(membership.Member) {
+	until := time.Now().Add(time.Second)
+	r.avoidedUntil.Store(&until)
+}
+
+func (r *regions) Gather(ctx context.Context, _ membership.Member, q aggregator.Request) (aggregator.Reply, error) {
+	r.asked.Add(1)
+	time.Sleep(crossing)
+	defer time.Sleep(crossing)
+	if r.call != nil {
+		return r.call(ctx, q)
+	}
+	return r.other.Aggregate(ctx, q)
+}
+
+func (r *regions) stopAll() {
+	r.other.Wait(context.Background())
+	r.stop()
+}
+
+// distantArrivals returns the number of requests at the upstreams of each distant shard.
+func (r *regions) distantArrivals() map[string]int {
+	arrivals := make(map[string]int)
+	for _, p := range r.AllReplicas() {
+		if isDistant(p.ID()[:3]) {
+			arrivals[p.ID()[:3]] += len(p.ArrivalTimes())
+		}
+	}
+	return arrivals
+}
+
+// TestDelegation checks that an aggregator gathers the parts of the distant shards, each with one attempt in the fleet, and that its
+// merged parts give the same answer as the parts themselves.
+func TestDelegation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegions(t)
+		defer r.stopAll()
+		s := lookupShape()
+		const seconds, perSecond = 10, 20
+		outcomes := r.GenerateLoad(perSecond, seconds*time.Second, 600*time.Millisecond, r.runner.Run)
+		late := 0
+		for _, o := range outcomes {
+			require.Equal(t, http.StatusOK, o.Status)
+			r.requireMerged(o, s.Records, s.Route.TopK, s.Services)
+			if o.Missing > 0 || o.Latency > s.Route.Objective {
+				late++
+			}
+		}
+		require.Less(t, float64(late), 0.02*float64(len(outcomes)))
+		require.Greater(t, float64(r.asked.Load()), 0.95*float64(len(outcomes)))
+		for shard, n := range r.distantArrivals() {
+			require.LessOrEqual(t, float64(n), 1.1*float64(len(outcomes)), "shard %s", shard)
+		}
+	})
+}
+
+// TestDelegationFaults lets the aggregator fail in different ways. Answers must be correct and nearly all be in time, and the extra
+// attempts within the retry budget.
+func TestDelegationFaults(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		call func(r *regions) func(ctx context.Context, q aggregator.Request) (aggregator.Reply, error)
+		free bool // the fallback costs no extra attempts
+	}{
+		{name: "frozen", call: func(*regions) func(context.Context, aggregator.Request) (aggregator.Reply, error) {
+			return func(ctx context.Context, _ aggregator.Request) (aggregator.Reply, error) {
+				<-ctx.Done()
+				return aggregator.Reply{}, ctx.Err()
+			}
+		}},
+		{name: "slow", call: func(r *regions) func(context.Context, aggregator.Request) (aggregator.Reply, error) {
+			return func(ctx context.Context, q aggregator.Request) (aggregator.Reply, error) {
+				defer time.Sleep(150 * time.Millisecond)
+				return r.other.Aggregate(ctx, q)
+			}
+		}},
+		{name: "answer lost", call: func(r *regions) func(context.Context, aggregator.Request) (aggregator.Reply, error) {
+			return func(ctx context.Context, q aggregator.Request) (aggregator.Reply, error) {
+				_, _ = r.other.Aggregate(ctx, q)
+				return aggregator.Reply{}, &client.LostError{Err: errors.New("connection was reset")}
+			}
+		}},
+		{name: "unreachable", free: true, call: func(*regions) func(context.Context, aggregator.Request) (aggregator.Reply, error) {
+			return func(context.Context, aggregator.Request) (aggregator.Reply, error) {
+				return aggregator.Reply{}, &client.UnsentError{Err: errors.New("connection refused")}
+			}
+		}},
+		{name: "stopping", free: true, call: func(*regions) func(context.Context, aggregator.Request) (aggregator.Reply, error) {
+			return func(context.Context, aggregator.Request) (aggregator.Reply, error) {
+				return aggregator.Reply{}, &client.RefusedError{Leaving: true}
+			}
+		}},
+		{name: "another revision", free: true, call: func(r *regions) func(context.Context, aggregator.Request) (aggregator.Reply, error) {
+			return func(ctx context.Context, q aggregator.Request) (aggregator.Reply, error) {
+				q.Revision++
+				_, err := r.other.Aggregate(ctx, q)
+				return aggregator.Reply{}, &client.RefusedError{Reason: err.Error()}
+			}
+		}},
+		{name: "part of the shards", call: func(r *regions) func(context.Context, aggregator.Request) (aggregator.Reply, error) {
+			return func(ctx context.Context, q aggregator.Request) (aggregator.Reply, error) {
+				q.Shards = slices.Clone(q.Shards)
+				q.Shards[0] = 0
+				if q.Shards.Len() == 0 {
+					return aggregator.Reply{}, nil
+				}
+				return r.other.Aggregate(ctx, q)
+			}
+		}},
+		{name: "now and then silent", call: func(r *regions) func(context.Context, aggregator.Request) (aggregator.Reply, error) {
+			return func(ctx context.Context, q aggregator.Request) (aggregator.Reply, error) {
+				if rand.IntN(20) == 0 {
+					<-ctx.Done()
+					return aggregator.Reply{}, ctx.Err()
+				}
+				return r.other.Aggregate(ctx, q)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRegions(t)
+				defer r.stopAll()
+				s := lookupShape()
+				r.GenerateLoad(20, 2*time.Second, 600*time.Millisecond, r.runner.Run)
+				before := r.distantArrivals()
+				r.call = c.call(r)
+				outcomes := r.GenerateLoad(20, 10*time.Second, 600*time.Millisecond, r.runner.Run)
+				inTime := 0
+				for _, o := range outcomes {
+					if o.Status != http.StatusOK {
+						continue
+					}
+					r.requireMerged(o, s.Records, s.Route.TopK, s.Services)
+					if o.Missing == 0 && o.Latency <= s.Route.Objective {
+						inTime++
+					}
+				}
+				require.Greater(t, float64(inTime), 0.9*float64(len(outcomes)))
+				for shard, n := range r.distantArrivals() {
+					extra := n - before[shard] - len(outcomes)
+					require.LessOrEqual(t, float64(extra), s.Bounds.ExtraRatio*float64(len(outcomes))+float64(s.Bounds.ExtraSlack))
+					if c.free {
+						require.LessOrEqual(t, extra, len(outcomes)/20)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestDelegationRespectsRegions checks that an instance of a region that the route does not allow is not asked, and refuses.
+func TestDelegationRespectsRegions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegions(t)
+		defer r.stopAll()
+		rt, _ := r.Published.Table.Lookup("h", "/x")
+		rt.Regions = []string{testbed.Region}
+		for _, o := range r.GenerateLoad(20, time.Second, 600*time.Millisecond, r.runner.Run) {
+			require.Equal(t, http.StatusServiceUnavailable, o.Status, "a third of the shards has no permitted upstream")
+		}
+		require.Zero(t, r.asked.Load())
+		var refused *RefusedError
+		q := r.NewRequest(time.Second)
+		_, err := r.other.Aggregate(t.Context(), aggregator.Request{ID: q.ID, Method: q.Method, Target: q.Target, Path: q.Path, Host: q.Host, Revision: 1, Shards: aggregator.Set{}.With(0), TimeLeftUS: 1e6})
+		require.ErrorAs(t, err, &refused)
+		rt.Regions = nil
+	})
+}
+
+// TestCallerLeavesDelegation checks that no upstream works for a caller that has left half a second before, also through an aggregator.
+func TestCallerLeavesDelegation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegions(t)
+		defer r.stopAll()
+		r.GenerateLoad(20, 2*time.Second, 600*time.Millisecond, r.runner.Run)
+		for _, p := range r.AllReplicas() {
+			p.SetSlowdown(1000)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(20*time.Millisecond, cancel)
+		r.runner.Run(ctx, r.NewRequest(30*time.Second))
+		start := time.Now()
+		r.runner.Wait(t.Context())
+		r.other.Wait(t.Context())
+		require.Less(t, time.Since(start), 500*time.Millisecond)
+	})
+}
+
+// TestTwoLevelMerge checks for any split of the shards that merging merged parts gives the same records as merging all parts at once.
+func TestTwoLevelMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		topK := rapid.IntRange(0, 12).Draw(t, "top-k")
+		flat, upper := merge.New(topK), merge.New(topK)
+		for range rapid.IntRange(1, 4).Draw(t, "groups") {
+			lower := merge.New(topK)
+			for range rapid.IntRange(0, 4).Draw(t, "parts") {
+				part := replica.Part("u", rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "part"), rapid.IntRange(0, 8).Draw(t, "records"))
+				flat.Add(part)
+				lower.Add(part)
+			}
+			upper.Add(lower.Bytes())
+		}
+		require.Equal(t, flat.Bytes(), upper.Bytes())
+	})
+}
--- a/internal/forward/runner/execution.go
+++ b/internal/forward/runner/execution.go
@@ -25,20 +25,24 @@
 // execution is the state of one request. Only the goroutine that called run modifies it.
 type execution struct {
 	*Runner
-	request request.Request
-	route   *route.Route
-	plan    timing.Plan
+	request     request.Request
+	route       *route.Route
+	revision    int64 // of the configuration
+	plan        timing.Plan
+	isAggregate bool // gathers parts for another instance
 
-	subrequests []*subrequest
-	required    int // number of subrequests that must be answered
-	answered    int // number of subrequests that have an answer
-	failed      int // number of subrequests that have finally failed
-	results     chan result
-	done        chan struct{} // closed when results are no longer received
+	subrequests       []*subrequest
+	delegations       []*delegation
+	required          int // number of subrequests that must be answered
+	answered          int // number of subrequests that have an answer
+	failed            int // number of subrequests that have finally failed
+	results           chan result
+	delegationResults chan delegationResult
+	done              chan struct{} // closed when results are no longer received
 }
 
-func newExecution(r *Runner, req request.Request, rt *route.Route) *execution {
-	e := &execution{Runner: r, request: req, route: rt, plan: r.planner.Plan(req, rt)}
+func newExecution(r *Runner, req request.Request, rt *route.Route, revision int64) *execution {
+	e := &execution{Runner: r, request: req, route: rt, revision: revision, plan: r.planner.Plan(req, rt)}
 	services, required := rt.Shards, rt.MinParts()
 	if !rt.IsGather() {
 		services, required = []string{r.splitter.Next(rt)}, 1
@@ -49,6 +53,7 @@
 		e.subrequests[i] = &subrequest{execution: e, index: i, cluster: r.clusters.Cluster(s)}
 	}
 	e.results = make(chan result, len(services))
+	e.delegationResults = make(chan delegationResult, 1)
 	e.done = make(chan struct{})
 	return e
 }
@@ -66,27 +71,51 @@
 	}
 	defer e.limiter.Release(len(e.subrequests))
 	defer e.close()
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
 	for _, s := range e.subrequests {
 		s.cluster.AddRequest()
-		s.advance(now)
 	}
+	e.delegateShards(now)
+	e.begin(now)
+	var rep reply.Reply
+	if !e.loop(ctx, func(now time.Time) (isDue bool) {
+		rep, isDue = e.replyIfDue(now)
+		return isDue
+	}) {
+		return reply.Failed(http.StatusBadGateway, "the caller has left")
+	}
+	return rep
+}
+
+// begin sends the first attempts, except on the shards that are delegated.
+func (e *execution) begin(now time.Time) {
+	for _, s := range e.subrequests {
+		if s.delegation == nil {
+			s.advance(now)
+		}
+	}
+}
+
+// loop handles events until isDue returns true. If ctx ends first, it cancels all attempts and returns false.
+func (e *execution) loop(ctx context.Context, isDue func(now time.Time) bool) bool {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
 	for {
-		now = time.Now()
-		if rep, ok := e.replyIfDue(now); ok {
-			return rep
+		now := time.Now()
+		if isDue(now) {
+			return true
 		}
 		timer.Reset(e.untilNextEvent(now))
 		select {
 		case res := <-e.results:
 			e.handleResult(res)
+		case res := <-e.delegationResults:
+			res.delegation.handleResult(res, time.Now())
 		case <-timer.C:
 			e.handlePendingResults()
 			e.advanceDue(time.Now())
 		case <-ctx.Done():
 			e.cancelAll()
-			return reply.Failed(http.StatusBadGateway, "the caller has left")
+			return false
 		}
 	}
 }
@@ -96,6 +125,7 @@
 func (e *execution) close() {
 	close(e.done)
 	e.discardResults()
+	e.cancelDelegations()
 	now := time.Now()
 	for _, s := range e.subrequests {
 		s.cancelSlow(now)
@@ -103,6 +133,13 @@
 	}
 }
 
+// cancelDelegations ends the calls to aggregators.
+func (e *execution) cancelDelegations() {
+	for _, d := range e.delegations {
+		d.cancelCall()
+	}
+}
+
 // deliver passes on the result of an attempt, or discards it if results are no longer received.
 func (e *execution) deliver(res result) {
 	select {
@@ -178,6 +215,11 @@
 			next = s.dueAt
 		}
 	}
+	for _, d := range e.delegations {
+		if !d.lateAt.IsZero() && d.lateAt.Before(next) {
+			next = d.lateAt
+		}
+	}
 	return max(0, next.Sub(now))
 }
 
@@ -187,6 +229,8 @@
 		select {
 		case res := <-e.results:
 			e.handleResult(res)
+		case res := <-e.delegationResults:
+			res.delegation.handleResult(res, time.Now())
 		default:
 			return
 		}
@@ -194,10 +238,13 @@
 }
 
 func (e *execution) handleResult(res result) {
-	e.subrequests[res.subrequest].handleResult(res, time.Now())
+	res.subrequest.handleResult(res, time.Now())
 }
 
 func (e *execution) advanceDue(now time.Time) {
+	for _, d := range e.delegations {
+		d.advance(now)
+	}
 	for _, s := range e.subrequests {
 		if !s.dueAt.IsZero() && !now.Before(s.dueAt) {
 			s.advance(now)
@@ -207,6 +254,7 @@
 
 // cancelAll cancels all attempts, since the caller no longer waits for an answer.
 func (e *execution) cancelAll() {
+	e.cancelDelegations()
 	for _, s := range e.subrequests {
 		s.cancel()
 	}
@@ -251,6 +299,9 @@
 // describe lists the attempts for the log, except those of subrequests whose only attempt was answered.
 func (e *execution) describe() string {
 	var b strings.Builder
+	for _, d := range e.delegations {
+		d.describe(&b)
+	}
 	for _, s := range e.subrequests {
 		s.describe(&b)
 	}
--- a/internal/forward/runner/handler.go
+++ b/internal/forward/runner/handler.go
@@ -29,7 +29,7 @@
 	rt, ok := h.view.Table.Lookup(h.request.Host, h.request.Path)
 	switch {
 	case ok:
-		h.execution = newExecution(h.Runner, h.request, rt)
+		h.execution = newExecution(h.Runner, h.request, rt, h.view.Table.Revision())
 		return h.execution.run(ctx)
 	case h.viewAge > staleViewAge:
 		return refused("no route in a view that may be old")
--- a/internal/forward/runner/runner.go
+++ b/internal/forward/runner/runner.go
@@ -9,6 +9,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"crocuswing/internal/forward/reply"
@@ -73,6 +74,10 @@
 	inFlight group.Group
 	limiter  *limiter.Limiter
 	started  time.Time
+
+	region      string      // of this instance
+	aggregators Aggregators // nil if there are none
+	aggregates  sync.Map    // running *aggregate by identifier of the request
 }
 
 // Option configures a Runner.
@@ -81,6 +86,11 @@
 // WithLimiter returns an option that limits the subrequests of all requests in progress together.
 func WithLimiter(l *limiter.Limiter) Option { return func(r *Runner) { r.limiter = l } }
 
+// WithAggregators returns an option that lets instances of other regions gather parts for this instance, which is in the given region.
+func WithAggregators(region string, a Aggregators) Option {
+	return func(r *Runner) { r.region, r.aggregators = region, a }
+}
+
 // New returns a Runner that sends requests to the clusters of c.
 func New(p Protocol, c Clusters, v Viewer, h *history.History, m Meter, log *zap.Logger, options ...Option) *Runner {
 	r := &Runner{
--- a/internal/forward/runner/subrequest.go
+++ b/internal/forward/runner/subrequest.go
@@ -23,16 +23,21 @@
 // subrequest is the share of a request that goes to one service.
 type subrequest struct {
 	*execution
-	index         int
-	cluster       *cluster.Cluster
-	attempts      []*attempt
-	dueAt         time.Time // time of the next call of advance; zero if there is none
-	isAnswered    bool
-	hasFailed     bool // no further attempt is sent
-	overBudget    bool // the retry budget refused an extra attempt
-	response      connection.Response
-	proof         string
-	upstreamError *connection.Response // the latest failure that an upstream sent
+	index              int
+	cluster            *cluster.Cluster
+	attempts           []*attempt
+	dueAt              time.Time // time of the next call of advance; zero if there is none
+	isAnswered         bool
+	hasFailed          bool        // no further attempt is sent
+	isLate             bool        // the attempt of an aggregate is older than its hedge delay
+	isReported         bool        // the part is in an earlier reply of an aggregate
+	overBudget         bool        // the retry budget refused an extra attempt
+	delegation         *delegation // gathers the part at present; nil if none does
+	delegatedRegion    string
+	isSentByAggregator bool // an upstream may have received the request from an aggregator
+	response           connection.Response
+	proof              string
+	upstreamError      *connection.Response // the latest failure that an upstream sent
 }
 
 // attempt is one sending of the subrequest to a replica.
@@ -56,10 +61,11 @@
 
 // result is the outcome of an attempt.
 type result struct {
-	subrequest, attempt int
-	response            connection.Response
-	signals             cluster.Signals
-	err                 error
+	subrequest *subrequest
+	attempt    int
+	response   connection.Response
+	signals    cluster.Signals
+	err        error
 }
 
 // advance sends the first attempt, a retry or a hedge, depending on the attempts so far.
@@ -95,7 +101,15 @@
 }
 
 func (s *subrequest) sendFirst(now time.Time) {
-	r, ok := s.cluster.Pick(balancer.First, s.route, nil, s.timing())
+	if s.delegatedRegion != "" {
+		s.sendAfterDelegation(now)
+		return
+	}
+	if s.isAggregate && !s.hasNearReplica() {
+		s.fail() // the instance that asked can reach the upstreams of other regions as well
+		return
+	}
+	r, ok := s.cluster.Pick(balancer.First, s.route, s.outsideReplicas(), s.timing())
 	if !ok {
 		s.recheckOrFail(now)
 		return
@@ -105,12 +119,12 @@
 
 // retry sends another attempt after all earlier ones have failed.
 func (s *subrequest) retry(now time.Time) {
-	if s.countPossiblyRun() >= s.route.MaxAttempts {
+	if s.countPossiblyRun() >= s.attemptLimit() {
 		s.fail()
 		return
 	}
-	r, ok := s.cluster.Pick(balancer.Retry, s.route, s.usedReplicas(), s.timing())
-	if !ok {
+	r, ok := s.cluster.Pick(balancer.Retry, s.route, append(s.usedReplicas(), s.outsideReplicas()...), s.timing())
+	if !ok && !s.isAggregate {
 		// No unused replica is available. One that failed may get the request again unless the route is non-idempotent.
 		r, ok = s.cluster.Pick(balancer.Retry, s.route, s.excludedReplicas(), s.timing())
 	}
@@ -127,7 +141,7 @@
 
 // recheckOrFail schedules a recheck if an upstream may accept the request in time. Otherwise the subrequest fails.
 func (s *subrequest) recheckOrFail(now time.Time) {
-	if from, ok := s.cluster.CanServe(s.route); ok && from.Before(s.latestUse()) {
+	if from, ok := s.cluster.CanServe(s.route); ok && !s.isAggregate && from.Before(s.latestUse()) {
 		s.scheduleRecheck(now)
 		return
 	}
@@ -148,10 +162,14 @@
 		s.dueAt = late
 		return
 	}
+	if s.isAggregate {
+		s.isLate = true // the instance that asked sends the hedge
+		return
+	}
 	if s.route.NonIdempotent && slow.gate.isSent() {
 		return
 	}
-	if s.countPossiblyRun() >= s.route.MaxAttempts {
+	if s.countPossiblyRun() >= s.attemptLimit() {
 		return
 	}
 	purpose := balancer.Hedge
@@ -186,7 +204,7 @@
 
 // countPossiblyRun returns the number of attempts that may have run, which the route limits.
 func (s *subrequest) countPossiblyRun() int {
-	n := 0
+	n := s.countDelegated()
 	for _, a := range s.attempts {
 		if a.mayHaveRun() {
 			n++
@@ -197,7 +215,7 @@
 
 // countSent returns the number of attempts that may have reached an upstream, including refused ones.
 func (s *subrequest) countSent() int {
-	n := 0
+	n := s.countDelegated()
 	for _, a := range s.attempts {
 		if a.gate.isSent() {
 			n++
@@ -206,6 +224,32 @@
 	return n
 }
 
+// countDelegated returns the number of attempts that an aggregator may have sent: all that the route permits but one.
+func (s *subrequest) countDelegated() int {
+	if s.isSentByAggregator {
+		return s.route.MaxAttempts - 1
+	}
+	return 0
+}
+
+// attemptLimit returns the number of upstreams to which this instance may send the request. The instance that asked for an aggregate
+// keeps one attempt for itself.
+func (s *subrequest) attemptLimit() int {
+	if s.isAggregate {
+		return s.route.MaxAttempts - 1
+	}
+	return s.route.MaxAttempts
+}
+
+// outsideReplicas returns the names of the replicas that must not get the request from this instance: for an aggregate, those in other
+// regions.
+func (s *subrequest) outsideReplicas() []string {
+	if !s.isAggregate {
+		return nil
+	}
+	return s.cluster.Names(s.region, false)
+}
+
 // usedReplicas returns the names of the replicas that have the request in flight or may have run it. A replica that refused
 // it may get it again later.
 func (s *subrequest) usedReplicas() []string {
@@ -250,7 +294,7 @@
 	s.inFlight.Go(func() {
 		defer cancel()
 		res := snd.run(ctx)
-		res.subrequest, res.attempt = s.index, index
+		res.subrequest, res.attempt = s, index
 		s.deliver(res)
 	})
 }
@@ -349,6 +393,7 @@
 // cancel cancels the attempts in flight and reports whether any attempt may have run. An attempt that has not been sent yet
 // never will be.
 func (s *subrequest) cancel() (mayHaveRun bool) {
+	mayHaveRun = s.isSentByAggregator
 	for _, a := range s.attempts {
 		if a.hasEnded {
 			mayHaveRun = mayHaveRun || !a.notRun
@@ -374,12 +419,16 @@
 
 // describe appends the latest attempts and their outcomes to b, unless the only attempt was answered.
 func (s *subrequest) describe(b *strings.Builder) {
-	if len(s.attempts) == 1 && s.attempts[0].outcome == "ok" {
+	if len(s.attempts) == 1 && s.attempts[0].outcome == "ok" || len(s.attempts) == 0 && s.isAnswered {
 		return
 	}
 	fmt.Fprintf(b, "%s:", s.cluster.Name())
-	if len(s.attempts) == 0 {
-		b.WriteString("nobody")
+	switch {
+	case len(s.attempts) > 0:
+	case s.isSentByAggregator:
+		b.WriteString("delegated ")
+	default:
+		b.WriteString("nobody ")
 	}
 	if omitted := len(s.attempts) - maxLoggedAttempts; omitted > 0 {
 		fmt.Fprintf(b, "(%d more) ", omitted)
--- a/internal/forward/timing/timing.go
+++ b/internal/forward/timing/timing.go
@@ -27,6 +27,10 @@
 	minHedgeDelay               = 8 * time.Millisecond
 	maxHedgeShare               = 0.4  // of the objective, so that more than half of it remains for the hedge
 	defaultHedgeShare           = 0.25 // of the objective, while no latency is known
+	// aggregateQuantile is the quantile of the latencies of aggregators after which one is late. It is high, since the fallback repeats
+	// the attempts on all of its shards.
+	aggregateQuantile = 0.99
+	maxAggregateShare = 0.5 // of the objective, so that the fallback can still be answered in time
 	// defaultTimeout bounds a request if neither its route nor its caller states a timeout.
 	defaultTimeout = 30 * time.Second
 )
@@ -40,6 +44,7 @@
 // routeLatency holds what was observed on the requests of one route.
 type routeLatency struct {
 	latencies  [balancer.OtherRegion + 1]window.Window
+	aggregates window.Window // latencies of aggregators
 	maxTimeout time.Duration // longest that a caller has stated
 }
 
@@ -53,6 +58,8 @@
 	// ExtraLatency is the difference between the low quantile of the latencies at each distance and that at the nearest
 	// distance with samples.
 	ExtraLatency [balancer.OtherRegion + 1]time.Duration
+	// AggregateDelay is the age at which an aggregator is late and its shards fall back to attempts of this instance.
+	AggregateDelay time.Duration
 	// Objective is the time by which a reply has to be sent to meet the latency objective.
 	Objective time.Time
 	// ReplyDeadline is the time at which a request without an answer fails. It precedes Deadline, so that the failure
@@ -91,6 +98,7 @@
 		Deadline:      deadline,
 	}
 	plan.HedgeDelays, plan.ExtraLatency = l.hedgeDelays(r.Objective)
+	plan.AggregateDelay = l.aggregateDelay(r.Objective)
 	return plan
 }
 
@@ -102,6 +110,11 @@
 	p.route(route).latencies[at].Add(d)
 }
 
+// RecordAggregate records the latency of an answer of an aggregator.
+func (p *Planner) RecordAggregate(route string, d time.Duration) {
+	p.route(route).aggregates.Add(d)
+}
+
 func (p *Planner) route(name string) *routeLatency {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -113,6 +126,16 @@
 	return l
 }
 
+// aggregateDelay returns the age at which an aggregator is late.
+func (l *routeLatency) aggregateDelay(objective time.Duration) time.Duration {
+	longest := time.Duration(maxAggregateShare * float64(objective))
+	usual, known := l.aggregates.Quantile(aggregateQuantile)
+	if !known {
+		return longest
+	}
+	return min(usual+jitterMargin, longest)
+}
+
 // hedgeDelays returns the hedge delay and the extra latency at each distance, as in Plan.
 func (l *routeLatency) hedgeDelays(objective time.Duration) (delays, extra [balancer.OtherRegion + 1]time.Duration) {
 	nearestLow := time.Duration(-1)
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"crocuswing/internal/entry/connections"
 	"crocuswing/internal/fleet/membership"
+	"crocuswing/internal/forward/aggregator"
 	"crocuswing/internal/forward/runner"
 	"crocuswing/internal/network/socket"
 	"crocuswing/internal/operator/metric"
@@ -28,6 +29,7 @@
 	"crocuswing/internal/upstream/catalog"
 	"crocuswing/internal/upstream/link"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
@@ -60,6 +62,7 @@
 	follower    *follower.Follower
 	catalog     *catalog.Catalog
 	membership  *membership.Membership
+	aggregators *aggregator.Selector
 	runner      *runner.Runner
 	conns       *connections.Connections
 	inFlight    *inflight.Tracker
@@ -101,7 +104,10 @@
 	g.membership = membership.New(s.Instance, s.PeerAddress, s.Seeds, g.log, g.catalog.SetInstanceCount)
 	source := relay.New(p.Store, g.membership, g.metrics.Count)
 	g.follower = follower.New(source, pollInterval, g.log, follower.WithViewObserver(g.updateView), follower.WithCounter(g.metrics.Count))
-	g.runner = runner.New(p.Protocol, g.catalog, g.follower, latencyHistory, g.metrics, g.log, runner.WithLimiter(g.subrequests))
+	g.membership.SetFailureDomain(s.FailureDomain)
+	g.aggregators = aggregator.New(g.membership, s.Regions)
+	g.runner = runner.New(p.Protocol, g.catalog, g.follower, latencyHistory, g.metrics, g.log, runner.WithLimiter(g.subrequests),
+		runner.WithAggregators(s.Region, g.aggregators))
 	g.handler = g.limitRequests(p.NewHandler(g.runner))
 	g.metrics.Gauge("crocuswing_instances", func() float64 { return float64(g.membership.Size()) })
 	g.metrics.Gauge("crocuswing_legs_in_flight", func() float64 { return float64(g.subrequests.Used()) })
@@ -118,6 +124,7 @@
 	g.catalog.SetSettings(s)
 	g.applyLimits(s)
 	g.membership.SetSeeds(s.Seeds)
+	g.aggregators.SetRegions(s.Regions)
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
 }
 
@@ -148,7 +155,11 @@
 	g.conns.Track(callers)
 	ready := &http.Server{Handler: g.readyHandler(g.ports.ReadyPath), ReadHeaderTimeout: headerTimeout}
 	metrics := &http.Server{Handler: g.metricsHandler(g.ports.MetricsPath), ReadHeaderTimeout: headerTimeout}
-	peers := server.New(map[string]server.Handler{membership.Method: g.membership.Handle, relay.Method: relay.Handler(g.follower)}, func() uint64 { return 0 }, func(uint64) {})
+	methods := map[string]server.Handler{
+		membership.Method: g.membership.Handle, relay.Method: relay.Handler(g.follower), aggregator.Method: g.aggregate,
+		aggregator.RestMethod: g.aggregateRest,
+	}
+	peers := server.New(methods, func() uint64 { return 0 }, func(uint64) {})
 
 	var group errgroup.Group
 	group.Go(func() error { g.follower.Run(backgroundCtx); return nil })
@@ -172,6 +183,24 @@
 	return err
 }
 
+// aggregate handles the call of an instance of another region that asks for parts.
+func (g *Gateway) aggregate(ctx context.Context, body []byte) (any, error) {
+	var q aggregator.Request
+	if err := msgpack.Unmarshal(body, &q); err != nil {
+		return nil, fmt.Errorf("%s: %w", aggregator.Method, err)
+	}
+	return g.runner.Aggregate(ctx, q)
+}
+
+// aggregateRest handles the call for the parts that were late.
+func (g *Gateway) aggregateRest(ctx context.Context, body []byte) (any, error) {
+	var q aggregator.RestRequest
+	if err := msgpack.Unmarshal(body, &q); err != nil {
+		return nil, fmt.Errorf("%s: %w", aggregator.RestMethod, err)
+	}
+	return g.runner.AggregateRest(ctx, q)
+}
+
 // updateView passes a new view to the catalog and applies the limits of a new configuration.
 func (g *Gateway) updateView(v *state.View) {
 	g.catalog.Update(v)
--- a/internal/upstream/cluster/cluster.go
+++ b/internal/upstream/cluster/cluster.go
@@ -285,6 +285,42 @@
 	}
 }
 
+// AppendRegions appends to dst the regions with a replica that can take a first attempt of a request of the route, and reports whether
+// one of these replicas is in the region of this instance. Those that do not answer at present do not count.
+func (c *Cluster) AppendRegions(dst []string, rt *route.Route, timing Timing) (regions []string, isNear bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for _, r := range c.replicas {
+		if !c.isAllowed(r, rt) || !c.hasColdCapacity(r, now) {
+			continue
+		}
+		candidate := c.candidate(r, timing, now)
+		isStuck := candidate.Record.OldestAge > timing.HedgeDelay || candidate.Record.Misses >= failingMisses
+		if (candidate.State != balancer.StateAvailable && candidate.State != balancer.StateCold) || isStuck {
+			continue
+		}
+		isNear = isNear || r.distance < balancer.OtherRegion
+		if !slices.Contains(dst, r.region) {
+			dst = append(dst, r.region)
+		}
+	}
+	return dst, isNear
+}
+
+// Names returns the names of the replicas that are in the region, or of those that are not.
+func (c *Cluster) Names(region string, isInside bool) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var names []string
+	for _, r := range c.replicas {
+		if (r.region == region) == isInside {
+			names = append(names, r.Name())
+		}
+	}
+	return names
+}
+
 // MaySend reports whether a replica that Pick returned may still receive the request. An upstream may have announced that it is
 // leaving, or asked for a pause, while the request waited for a connection.
 func (c *Cluster) MaySend(r *Replica) bool {
