--- a/internal/soak/fault/fault.go
+++ b/internal/soak/fault/fault.go
@@ -189,6 +189,20 @@
 			inj.holdFault(r)
 			u.SetShed(0)
 		}},
+		{"upstream asks for a pause", func(r *rand.Rand) {
+			u := inj.randomUpstream(r)
+			u.SetRetryAfter(100*time.Millisecond + time.Duration(r.Int64N(int64(2*time.Second))))
+			u.SetShed(r.Float64())
+			inj.holdFault(r)
+			u.SetShed(0)
+			u.SetRetryAfter(0)
+		}},
+		{"upstream announces that it leaves", func(r *rand.Rand) {
+			u := inj.randomUpstream(r)
+			u.SetLeaving(true)
+			inj.holdFault(r)
+			inj.reportError(u.Restart(time.Duration(r.Int64N(int64(time.Second)))))
+		}},
 		{"upstream restarts", func(r *rand.Rand) {
 			inj.reportError(inj.randomUpstream(r).Restart(time.Duration(r.Int64N(int64(time.Second)))))
 		}},
