--- a/internal/soak/fault/fault.go
+++ b/internal/soak/fault/fault.go
@@ -144,7 +144,7 @@
 
 // disruptions returns the kinds of unplanned faults.
 func (inj *Injector) disruptions() []action {
-	return []action{
+	return append([]action{
 		{"kill", func(r *rand.Rand) { inj.killInstance(inj.randomInstance(r), 1, r) }},
 		{"kills in series", func(r *rand.Rand) { inj.killInstance(inj.randomInstance(r), 3, r) }},
 		{"kill of many", func(*rand.Rand) {
@@ -166,6 +166,12 @@
 		{"store", inj.disruptStore},
 		{"store forgets its history", func(*rand.Rand) { inj.site.Compact() }},
 		{"store forgets its history while instances cannot reach it", inj.compactWhileUnreachable},
+	}, inj.upstreamDisruptions()...)
+}
+
+// upstreamDisruptions returns the disruptions of upstreams.
+func (inj *Injector) upstreamDisruptions() []action {
+	return []action{
 		{"upstream is slow", func(r *rand.Rand) {
 			u := inj.randomUpstream(r)
 			u.SetSlowdown(2 + 20*r.Float64())
