--- a/internal/forward/runner/delegation_test.go
+++ b/internal/forward/runner/delegation_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -40,6 +41,9 @@
 	// call replaces the call to the other instance if it is set.
 	call  func(ctx context.Context, q aggregator.Request) (aggregator.Reply, error)
 	asked atomic.Int64
+	mu    sync.Mutex
+	// arrivals holds the upstreams that received a request, by its identifier and the shard.
+	arrivals map[string]map[string]bool
 	// avoidedUntil is the end of the pause after a miss.
 	avoidedUntil atomic.Pointer[time.Time]
 }
@@ -48,7 +52,11 @@
 	s := lookupShape()
 	s.RemoteRTT = 2 * crossing
 	s.PauseEvery = 0
+	s.Replicas = 4
+	r := &regions{arrivals: make(map[string]map[string]bool)}
+	s.Observe = r.observe
 	h := newHarness(t, s)
+	r.harness = h
 	settings := deployment.Settings{
 		FailureDomain: testbed.OtherDomain, Region: testbed.OtherRegion, Bounds: s.Bounds,
 		Regions: map[string]string{testbed.Domain: testbed.Region, testbed.OtherDomain: testbed.OtherRegion},
@@ -68,7 +76,6 @@
 	v := *former
 	v.Upstreams = upstreams
 	otherCatalog.Update(&v)
-	r := &regions{harness: h}
 	r.other = New(h, otherCatalog, h, otherHistory, metric.New(), zap.NewNop(), WithAggregators(testbed.OtherRegion, nil))
 	r.runner = New(h, h.Catalog, h, h.History, metric.New(), zap.NewNop(), WithAggregators(testbed.Region, r))
 	return r
@@ -106,10 +113,30 @@
 }
 
 func (r *regions) stopAll() {
+	r.requireAttempts()
 	r.other.Wait(context.Background())
 	r.stop()
 }
 
+func (r *regions) observe(a replica.Arrival) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := a.ID + " " + a.Upstream[:3]
+	if r.arrivals[key] == nil {
+		r.arrivals[key] = make(map[string]bool)
+	}
+	r.arrivals[key][a.Upstream] = true
+}
+
+// requireAttempts checks that no request reached more upstreams of a shard than its route permits.
+func (r *regions) requireAttempts() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for key, upstreams := range r.arrivals {
+		require.LessOrEqual(r, len(upstreams), lookupShape().Route.MaxAttempts, key)
+	}
+}
+
 // distantArrivals returns the number of requests at the upstreams of each distant shard.
 func (r *regions) distantArrivals() map[string]int {
 	arrivals := make(map[string]int)
@@ -241,6 +268,24 @@
 	}
 }
 
+// TestDelegationAttempts lets the upstreams be slow now and then, so that both instances send extra attempts.
+func TestDelegationAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegions(t)
+		defer r.stopAll()
+		for _, p := range r.AllReplicas() {
+			p.SetFault(func(rng *rand.Rand) replica.Fault {
+				if rng.IntN(5) == 0 {
+					return replica.NoResponse
+				}
+				return replica.NoFault
+			})
+		}
+		r.GenerateLoad(20, 10*time.Second, 600*time.Millisecond, r.runner.Run)
+		require.Positive(t, r.asked.Load())
+	})
+}
+
 // TestDelegationRespectsRegions checks that an instance of a region that the route does not allow is not asked, and refuses.
 func TestDelegationRespectsRegions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/forward/runner/leaving_test.go
+++ b/internal/forward/runner/leaving_test.go
@@ -24,6 +24,11 @@
 	for name := range h.Published.Upstreams {
 		v.Changed = append(v.Changed, name)
 	}
+	for name := range upstreams {
+		if _, ok := h.Published.Upstreams[name]; !ok {
+			v.Changed = append(v.Changed, name)
+		}
+	}
 	h.Published = v
 	h.Catalog.Update(v)
 }
@@ -184,7 +189,7 @@
 	const pause = 3 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		s := orderShape()
-		s.Replicas, s.Slots, s.Queue = 1, 1, 0
+		s.Replicas, s.Slots, s.Queue, s.RTT = 1, 1, 0, 100*time.Millisecond
 		s.ServiceTime = func(*rand.Rand) time.Duration { return 300 * time.Millisecond }
 		h := newHarness(t, s)
 		defer h.stop()
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -337,8 +338,12 @@
 		panic(err)
 	}
 	defer conn.Close()
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n",
-		p.options.RequestID, id, p.options.Proof, p.proof(id), len(body))
+	state := make(http.Header)
+	p.setState(state, false)
+	var lines strings.Builder
+	_ = state.Write(&lines) // a strings.Builder returns no errors
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n",
+		p.options.RequestID, id, p.options.Proof, p.proof(id), &lines, len(body))
 	_, _ = buf.WriteString(head)
 	if f == Truncated {
 		_, _ = buf.Write(body[:len(body)/2])
--- a/internal/upstream/cluster/cluster_test.go
+++ b/internal/upstream/cluster/cluster_test.go
@@ -254,3 +254,30 @@
 		})
 	}
 }
+
+// TestPauseIsNotShortened checks that a replica gets nothing before the latest end of the pauses that it requested, and then within the
+// spread.
+func TestPauseIsNotShortened(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster("a")
+		r := c.Replicas()[0]
+		const pause = 3 * time.Second
+		start := time.Now()
+		c.RecordSignals(r, Signals{NotRun: true, RetryAfter: pause, Load: -1})
+		c.RecordSignals(r, Signals{NotRun: true, RetryAfter: 10 * time.Millisecond, Load: -1})
+		c.RecordSignals(r, Signals{NotRun: true, Load: -1})
+		require.False(t, c.MaySend(r))
+		from, ok := c.CanServe(&route.Route{})
+		require.True(t, ok)
+		for {
+			if _, ok := pick(c, route.Route{}); ok {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		require.GreaterOrEqual(t, time.Since(start), pause)
+		require.Less(t, time.Since(start), pause+maxResumeSpread)
+		require.WithinDuration(t, from, time.Now(), time.Millisecond)
+		require.True(t, c.MaySend(r))
+	})
+}
