--- a/internal/forward/runner/sender.go
+++ b/internal/forward/runner/sender.go
@@ -13,6 +13,8 @@
 	"crocuswing/internal/upstream/connection"
 	"crocuswing/internal/upstream/failure"
 	"crocuswing/internal/upstream/link"
+
+	"go.uber.org/zap"
 )
 
 // sender sends one attempt of a request to a replica.
@@ -50,14 +52,27 @@
 		s.reducePart(&res.response)
 	}
 	if res.err == nil {
-		s.cluster.RecordSignals(s.replica, signals)
+		s.reportChange(s.cluster.RecordSignals(s.replica, signals))
 	} else {
-		s.cluster.RecordDeparture(s.replica, signals)
+		s.reportChange(s.cluster.RecordDeparture(s.replica, signals))
 	}
 	s.record(res)
 	return res
 }
 
+// reportChange logs and counts what a response changed in the state of its upstream.
+func (s *sender) reportChange(c cluster.Change) {
+	fields := []zap.Field{zap.String("upstream", s.replica.Name()), zap.String("service", s.cluster.Name()), zap.String("request-id", s.request.ID)}
+	if c.IsLeaving {
+		s.meter.Count("crocuswing_upstream_departures_total")
+		s.log.Info("upstream announces that it leaves", fields...)
+	}
+	if c.Pause > 0 {
+		s.meter.Count("crocuswing_upstream_pauses_total")
+		s.log.Info("upstream asks for a pause", append(fields, zap.Duration("pause", c.Pause))...)
+	}
+}
+
 // reducePart replaces a large body by the records of it that an answer may contain, so that its memory is not held until the answer
 // is complete.
 func (s *sender) reducePart(r *connection.Response) {
@@ -77,6 +92,11 @@
 	name := s.replica.Name()
 	var f *failure.Failure
 	errors.As(res.err, &f)
+	var limit *connection.LimitError
+	if errors.As(res.err, &limit) {
+		s.meter.Count("crocuswing_upstream_oversized_responses_total")
+		s.log.Warn("response of an upstream exceeds a limit", zap.String("upstream", name), zap.String("request-id", s.request.ID), zap.Error(limit))
+	}
 	switch {
 	case f != nil && (f.Kind == failure.KindCanceled || f.Kind == failure.KindTimeout):
 		s.history.Canceled(name, s.start, now, s.hedgeDelay)
--- a/internal/upstream/cluster/cluster.go
+++ b/internal/upstream/cluster/cluster.go
@@ -381,44 +381,57 @@
 	}
 }
 
+// Change is what a response changed in the state of a replica.
+type Change struct {
+	// IsLeaving reports whether the response is the first that announces the departure.
+	IsLeaving bool
+	// Pause is the pause that the response requested, if none was in force; else 0.
+	Pause time.Duration
+}
+
 // RecordSignals records the state that the replica reported in a response.
-func (c *Cluster) RecordSignals(r *Replica, s Signals) {
+func (c *Cluster) RecordSignals(r *Replica, s Signals) (change Change) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	if s.Load >= 0 {
 		r.load, r.loadAt = s.Load, now
 	}
-	c.recordDeparture(r, s, now)
+	change.IsLeaving = c.recordDeparture(r, s, now)
 	switch {
 	case s.IsMisdirected:
 		r.misdirected = true
-		return
+		return change
 	case s.NotRun:
 		r.pauseAfterShed(now)
 	}
 	if s.RetryAfter > 0 {
+		if !r.isPaused(now) {
+			change.Pause = s.RetryAfter
+		}
 		r.pauseFor(now, s.RetryAfter)
 	}
+	return change
 }
 
 // RecordDeparture records the announcement in a response that is unusable for its request.
-func (c *Cluster) RecordDeparture(r *Replica, s Signals) {
+func (c *Cluster) RecordDeparture(r *Replica, s Signals) Change {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recordDeparture(r, s, time.Now())
+	return Change{IsLeaving: c.recordDeparture(r, s, time.Now())}
 }
 
 // recordDeparture attributes an announcement to the upstream that sent the response, which differs from the replica if the address
-// now belongs to another one.
-func (c *Cluster) recordDeparture(r *Replica, s Signals, now time.Time) {
+// now belongs to another one. It reports whether the announcement is the replica's first.
+func (c *Cluster) recordDeparture(r *Replica, s Signals, now time.Time) (isFirst bool) {
 	switch {
 	case !s.IsLeaving:
 	case !s.IsMisdirected:
-		r.departure.Announce(now)
+		return r.departure.Announce(now)
 	case s.Responder != "":
 		c.departures.Announce(s.Responder, now)
 	}
+	return false
 }
 
 // Preconnect starts to open connections to at most limit replicas without one, and returns the number of dials started.
--- a/internal/upstream/departure/departure.go
+++ b/internal/upstream/departure/departure.go
@@ -19,8 +19,10 @@
 	announced atomic.Pointer[time.Time]
 }
 
-// Announce records an announcement at now. Only the first one counts.
-func (d *Departure) Announce(now time.Time) { d.announced.CompareAndSwap(nil, &now) }
+// Announce records an announcement at now and reports whether it is the first one. Only that counts.
+func (d *Departure) Announce(now time.Time) (isFirst bool) {
+	return d.announced.CompareAndSwap(nil, &now)
+}
 
 // Announced returns the time of the first announcement, and false if there was none.
 func (d *Departure) Announced() (time.Time, bool) {
