--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -145,6 +145,11 @@
 	return ms.client(address).Call(ctx, method, request, reply)
 }
 
+// Connect opens a connection to the instance at address unless there is one.
+func (ms *Membership) Connect(ctx context.Context, address string) error {
+	return ms.client(address).Connect(ctx)
+}
+
 // Run gossips with other instances until ctx is done.
 func (ms *Membership) Run(ctx context.Context) {
 	defer ms.close()
--- a/internal/forward/aggregator/aggregator.go
+++ b/internal/forward/aggregator/aggregator.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"crocuswing/internal/fleet/membership"
+	"crocuswing/internal/task/pause"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -21,7 +22,11 @@
 const (
 	// perRegion is the number of instances of each region that one instance asks, so that the number of connections between instances
 	// does not grow with the square of the fleet.
-	perRegion = 4
+	perRegion = 2
+	// connectInterval is the time between two checks that the connections to them are open. It is below the time after which idle ones are
+	// closed.
+	connectInterval = 5 * time.Second
+	connectTimeout  = time.Second
 	// firstAvoidance and maxAvoidance are the first and the longest time for which an instance is not asked after it has not answered
 	// in time. The time doubles with each further miss.
 	firstAvoidance = time.Second
@@ -35,6 +40,7 @@
 	Members() []membership.Member
 	Self() membership.Member
 	Call(ctx context.Context, address, method string, request, reply any) error
+	Connect(ctx context.Context, address string) error
 }
 
 // Selector selects aggregators. It is safe for concurrent use.
@@ -96,6 +102,32 @@
 	return usable[xxhash.Sum64String(requestID)%uint64(len(usable))], true
 }
 
+// Run keeps connections open to the selected instances until ctx ends, so that no request waits for one.
+func (s *Selector) Run(ctx context.Context) {
+	for {
+		for _, m := range s.all() {
+			connectCtx, cancel := context.WithTimeout(ctx, connectTimeout)
+			_ = s.members.Connect(connectCtx, m.Address) // a request that needs the connection reports the error
+			cancel()
+		}
+		if !pause.For(ctx, connectInterval) {
+			return
+		}
+	}
+}
+
+// all returns the selected instances of all regions.
+func (s *Selector) all() []membership.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refresh(time.Now())
+	var all []membership.Member
+	for _, selected := range s.selected {
+		all = append(all, selected...)
+	}
+	return all
+}
+
 // refresh selects, in each region, the instances with the highest rendezvous hashes for this instance.
 func (s *Selector) refresh(now time.Time) {
 	s.refreshedAt = now
--- a/internal/forward/runner/aggregate.go
+++ b/internal/forward/runner/aggregate.go
@@ -9,6 +9,7 @@
 	"crocuswing/internal/forward/aggregator"
 	"crocuswing/internal/forward/merge"
 	"crocuswing/internal/forward/request"
+	"crocuswing/internal/query/balancer"
 
 	"go.uber.org/zap"
 )
@@ -28,6 +29,7 @@
 	*execution
 	first, rest chan aggregator.Reply
 	cancel      context.CancelFunc
+	firstDue    time.Time   // when parts that have not arrived are late
 	isAwaited   atomic.Bool // the call for the late parts has arrived
 }
 
@@ -45,7 +47,10 @@
 	}
 	r.meter.Count("crocuswing_aggregates_served_total")
 	runCtx, cancel := context.WithDeadline(context.Background(), e.plan.Deadline)
-	a := &aggregate{execution: e, first: make(chan aggregator.Reply, 1), rest: make(chan aggregator.Reply), cancel: cancel}
+	a := &aggregate{
+		execution: e, first: make(chan aggregator.Reply, 1), rest: make(chan aggregator.Reply), cancel: cancel,
+		firstDue: e.request.Arrived.Add(max(e.plan.HedgeDelay(balancer.SameDomain), e.plan.HedgeDelay(balancer.SameRegion))),
+	}
 	r.aggregates.Store(q.ID, a)
 	r.inFlight.Go(func() {
 		defer cancel()
@@ -88,7 +93,9 @@
 	defer close(a.rest)
 	defer a.aggregates.CompareAndDelete(a.request.ID, a)
 	a.begin(time.Now())
-	isRunning := a.loop(ctx, func(time.Time) bool { return a.isSettled(true) })
+	a.wakeAt = a.firstDue
+	isRunning := a.loop(ctx, func(now time.Time) bool { return a.isSettled(!now.Before(a.firstDue)) })
+	a.wakeAt = time.Time{}
 	first := a.reply()
 	a.log.Info("aggregate", zap.String("request-id", a.request.ID), zap.String("route", a.route.Name), zap.Int64("revision", a.revision),
 		zap.Int("shards", len(a.subrequests)), zap.Int("answered", first.Answered.Len()), zap.Int("late", first.Late.Len()),
@@ -139,10 +146,10 @@
 	return e, nil
 }
 
-// isSettled reports whether each part has arrived or has failed. With orLate, it does not wait for late attempts.
+// isSettled reports whether each part has arrived or has failed. With orLate, parts for which an attempt was sent count as settled.
 func (a *aggregate) isSettled(orLate bool) bool {
 	for _, s := range a.subrequests {
-		isDone := s.isAnswered || s.hasFailed || (orLate && s.isLate)
+		isDone := s.isAnswered || s.hasFailed || (orLate && s.countSent() > 0)
 		if !isDone {
 			return false
 		}
--- a/internal/forward/runner/execution.go
+++ b/internal/forward/runner/execution.go
@@ -29,7 +29,8 @@
 	route       *route.Route
 	revision    int64 // of the configuration
 	plan        timing.Plan
-	isAggregate bool // gathers parts for another instance
+	isAggregate bool      // gathers parts for another instance
+	wakeAt      time.Time // when the loop checks whether the reply is due, in addition to other events; zero if never
 
 	subrequests       []*subrequest
 	delegations       []*delegation
@@ -215,6 +216,9 @@
 			next = s.dueAt
 		}
 	}
+	if !e.wakeAt.IsZero() && e.wakeAt.Before(next) {
+		next = e.wakeAt
+	}
 	for _, d := range e.delegations {
 		if !d.lateAt.IsZero() && d.lateAt.Before(next) {
 			next = d.lateAt
--- a/internal/forward/runner/subrequest.go
+++ b/internal/forward/runner/subrequest.go
@@ -29,7 +29,6 @@
 	dueAt              time.Time // time of the next call of advance; zero if there is none
 	isAnswered         bool
 	hasFailed          bool        // no further attempt is sent
-	isLate             bool        // the attempt of an aggregate is older than its hedge delay
 	isReported         bool        // the part is in an earlier reply of an aggregate
 	overBudget         bool        // the retry budget refused an extra attempt
 	delegation         *delegation // gathers the part at present; nil if none does
@@ -163,8 +162,7 @@
 		return
 	}
 	if s.isAggregate {
-		s.isLate = true // the instance that asked sends the hedge
-		return
+		return // the instance that asked sends the hedge
 	}
 	if s.route.NonIdempotent && slow.gate.isSent() {
 		return
--- a/internal/peer/client/client.go
+++ b/internal/peer/client/client.go
@@ -76,6 +76,12 @@
 // Address returns the address of the peer.
 func (c *Client) Address() string { return c.address }
 
+// Connect opens the connection unless it is open, so that a later call does not wait for the dial and the handshake.
+func (c *Client) Connect(ctx context.Context) error {
+	_, err := c.connect(ctx)
+	return err
+}
+
 // Call sends a request and decodes the reply. After *UnsentError and *RefusedError, the peer has not run any part of
 // the request. After *LostError, an error of ctx or a decoding error, it may have run it.
 func (c *Client) Call(ctx context.Context, method string, request, reply any) error {
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -165,6 +165,7 @@
 	group.Go(func() error { g.follower.Run(backgroundCtx); return nil })
 	group.Go(func() error { g.membership.Run(backgroundCtx); return nil })
 	group.Go(func() error { g.catalog.Run(backgroundCtx); return nil })
+	group.Go(func() error { g.aggregators.Run(backgroundCtx); return nil })
 	group.Go(func() error { g.conns.Run(backgroundCtx); return nil })
 	group.Go(func() error { return socket.Serve(callers, listeners.callers) })
 	group.Go(func() error { return socket.Serve(ready, listeners.ready) })
