fix(forward): an answered shard stays one that may have run when late parts arrive

Seen while reading; the request as a whole was never refused wrongly, since the late shard itself counts as sent (the new test passes on the former code too).

--- a/internal/forward/runner/delegation.go
+++ b/internal/forward/runner/delegation.go
@@ -230,7 +230,7 @@
 	proofs := r.Proofs
 	for _, s := range d.members {
 		if !r.Answered.Has(s.index) {
-			s.isSentByAggregator = s.isSentByAggregator && r.Sent.Has(s.index)
+			s.isSentByAggregator = s.isSentByAggregator && (s.isAnswered || r.Sent.Has(s.index))
 			continue
 		}
 		s.completeFromAggregator(connection.Response{Body: records}, proofs[0])
--- a/internal/forward/runner/delegation_test.go
+++ b/internal/forward/runner/delegation_test.go
@@ -42,7 +42,7 @@
 	call  func(ctx context.Context, q aggregator.Request) (aggregator.Reply, error)
 	asked atomic.Int64
 	mu    sync.Mutex
-	// arrivals holds the upstreams that received a request, by its identifier and the shard.
+	// arrivals holds the upstreams that ran a request, by its identifier and the shard.
 	arrivals map[string]map[string]bool
 	// avoidedUntil is the end of the pause after a miss.
 	avoidedUntil atomic.Pointer[time.Time]
@@ -119,6 +119,9 @@
 }
 
 func (r *regions) observe(a replica.Arrival) {
+	if !a.Ran {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	key := a.ID + " " + a.Upstream[:3]
@@ -128,7 +131,7 @@
 	r.arrivals[key][a.Upstream] = true
 }
 
-// requireAttempts checks that no request reached more upstreams of a shard than its route permits.
+// requireAttempts checks that no request ran on more upstreams of a shard than its route permits.
 func (r *regions) requireAttempts() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -286,6 +289,36 @@
 	})
 }
 
+// TestDelegatedWorkIsNotDenied lets all shards but the distant ones refuse requests, some of whose distant parts are late. The requests
+// fail, and none may be refused as not run, since the upstreams of the distant shards ran them.
+func TestDelegatedWorkIsNotDenied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegions(t)
+		defer r.stopAll()
+		r.GenerateLoad(20, 2*time.Second, 600*time.Millisecond, r.runner.Run)
+		for _, p := range r.AllReplicas() {
+			if !isDistant(p.ID()[:3]) {
+				p.SetShed(1)
+			} else if p.ID()[:3] == "s03" {
+				p.SetSlowdown(8)
+			}
+		}
+		failed := 0
+		for _, o := range r.GenerateLoad(5, 4*time.Second, 600*time.Millisecond, r.runner.Run) {
+			ran := 0
+			for _, p := range r.AllReplicas() {
+				ran += p.Runs()[o.ID]
+			}
+			if o.Status == http.StatusServiceUnavailable {
+				require.Zero(t, ran, "request %s was refused", o.ID)
+			} else {
+				failed++
+			}
+		}
+		require.Positive(t, failed)
+	})
+}
+
 // TestDelegationRespectsRegions checks that an instance of a region that the route does not allow is not asked, and refuses.
 func TestDelegationRespectsRegions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
