--- a/internal/forward/runner/delegation.go
+++ b/internal/forward/runner/delegation.go
@@ -20,6 +20,10 @@
 // if these are small.
 const minDelegatedShards = 2
 
+// minAggregatorConnections is the number of connections to each upstream from which an instance can take the requests of others as well.
+// With a single one, they would wait for each other. All instances have the same share.
+const minAggregatorConnections = 2
+
 // Aggregators selects instances of other regions and asks them for parts.
 type Aggregators interface {
 	Pick(region, requestID string) (membership.Member, bool)
@@ -62,6 +66,9 @@
 	}
 	shardsByRegion := make(map[string][]*subrequest)
 	for _, s := range e.subrequests {
+		if s.cluster.Connections() < minAggregatorConnections {
+			continue
+		}
 		var buf [4]string
 		regions, isNear := s.cluster.AppendRegions(buf[:0], e.route, s.timing())
 		if isNear {
@@ -96,13 +103,6 @@
 		e.plan.Objective.Sub(now) >= e.plan.AggregateDelay+e.plan.HedgeDelay(balancer.OtherRegion)
 }
 
-// hasNearReplica reports whether an upstream of this region can be expected to answer the subrequest in time.
-func (s *subrequest) hasNearReplica() bool {
-	var buf [4]string
-	_, isNear := s.cluster.AppendRegions(buf[:0], s.route, s.timing())
-	return isNear
-}
-
 // largestRegion returns the region with the most shards that are not delegated yet. Requests choose among equal ones by hash.
 func (e *execution) largestRegion(shardsByRegion map[string][]*subrequest) string {
 	best, bestCount, bestHash := "", -1, uint64(0)
--- a/internal/forward/runner/delegation_test.go
+++ b/internal/forward/runner/delegation_test.go
@@ -374,3 +374,16 @@
 		require.Equal(t, flat.Bytes(), upper.Bytes())
 	})
 }
+
+// TestFewConnections checks that shards are not delegated while an instance has a single connection to each upstream.
+func TestFewConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegions(t)
+		defer r.stopAll()
+		r.Catalog.SetInstanceCount(testbed.MaxConnections)
+		for _, o := range r.GenerateLoad(20, time.Second, 600*time.Millisecond, r.runner.Run) {
+			require.Equal(t, http.StatusOK, o.Status)
+		}
+		require.Zero(t, r.asked.Load())
+	})
+}
--- a/internal/forward/runner/subrequest.go
+++ b/internal/forward/runner/subrequest.go
@@ -104,7 +104,7 @@
 		s.sendAfterDelegation(now)
 		return
 	}
-	if s.isAggregate && !s.hasNearReplica() {
+	if s.isAggregate && !s.cluster.HasPromptReplica(s.route, s.timing()) {
 		s.fail() // the instance that asked can reach the upstreams of other regions as well
 		return
 	}
--- a/internal/upstream/catalog/catalog.go
+++ b/internal/upstream/catalog/catalog.go
@@ -84,6 +84,7 @@
 	if !ok {
 		cl = cluster.New(service, c.history, retrybudget.New(c.extraRatio(), c.extraSlack(), c.settings.ExtraWindow), cluster.WithInstance(c.settings.Instance), cluster.WithDepartures(c.departures))
 		cl.SetDrainTime(c.settings.DrainTime)
+		cl.SetConnections(c.connectionShare(service))
 		cl.SetSubsetFraction(c.subsetFraction(service))
 		cl.SetExcludedDomains(c.view.ExcludedDomains)
 		cl.SetColdRate(c.coldRate(service))
@@ -136,6 +137,7 @@
 		cl.SetBounds(c.extraRatio(), c.extraSlack())
 		cl.SetColdRate(c.coldRate(name))
 		cl.SetDrainTime(c.settings.DrainTime)
+		cl.SetConnections(c.connectionShare(name))
 		cl.SetSubsetFraction(c.subsetFraction(name))
 		for _, r := range cl.Replicas() {
 			r.Link().SetMaxConnections(c.connectionShare(name))
--- a/internal/upstream/cluster/cluster.go
+++ b/internal/upstream/cluster/cluster.go
@@ -57,6 +57,7 @@
 	departures     *departure.Register
 	drainTime      time.Duration // time for which a leaving upstream serves after its announcement
 	instance       string
+	connections    int     // connections of this instance to each replica
 	subsetFraction float64 // fraction of the replicas to which this instance keeps connections
 	subsetUpdated  time.Time
 }
@@ -99,6 +100,20 @@
 	c.coldRate = perSecond
 }
 
+// SetConnections sets the number of connections that this instance may open to each replica.
+func (c *Cluster) SetConnections(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.connections = n
+}
+
+// Connections returns the number of connections that this instance may open to each replica.
+func (c *Cluster) Connections() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.connections
+}
+
 // SetDrainTime sets the time for which an upstream still serves after it has announced that it is leaving. With 0, the default, it
 // receives nothing after the announcement.
 func (c *Cluster) SetDrainTime(d time.Duration) {
@@ -292,12 +307,7 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	for _, r := range c.replicas {
-		if !c.isAllowed(r, rt) || !c.hasColdCapacity(r, now) {
-			continue
-		}
-		candidate := c.candidate(r, timing, now)
-		isStuck := candidate.Record.OldestAge > timing.HedgeDelay || candidate.Record.Misses >= failingMisses
-		if (candidate.State != balancer.StateAvailable && candidate.State != balancer.StateCold) || isStuck {
+		if !c.isUsableNow(r, rt, timing, now) {
 			continue
 		}
 		isNear = isNear || r.distance < balancer.OtherRegion
@@ -308,6 +318,27 @@
 	return dst, isNear
 }
 
+// HasPromptReplica reports whether a replica of this region can be expected to answer a request of the route without delay: it answers
+// at present, and a connection to it is free.
+func (c *Cluster) HasPromptReplica(rt *route.Route, timing Timing) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	return slices.ContainsFunc(c.replicas, func(r *Replica) bool {
+		return r.distance < balancer.OtherRegion && c.isUsableNow(r, rt, timing, now) && r.link.HasCapacity()
+	})
+}
+
+// isUsableNow reports whether the replica can take a first attempt of a request of the route and answers at present.
+func (c *Cluster) isUsableNow(r *Replica, rt *route.Route, timing Timing, now time.Time) bool {
+	if !c.isAllowed(r, rt) || !c.hasColdCapacity(r, now) {
+		return false
+	}
+	candidate := c.candidate(r, timing, now)
+	isStuck := candidate.Record.OldestAge > timing.HedgeDelay || candidate.Record.Misses >= failingMisses
+	return (candidate.State == balancer.StateAvailable || candidate.State == balancer.StateCold) && !isStuck
+}
+
 // Names returns the names of the replicas that are in the region, or of those that are not.
 func (c *Cluster) Names(region string, isInside bool) []string {
 	c.mu.Lock()
--- a/internal/upstream/link/link.go
+++ b/internal/upstream/link/link.go
@@ -127,6 +127,9 @@
 // Preconnect starts to open a connection if there is none, and reports whether it did.
 func (l *Link) Preconnect() bool { return l.pool.Preconnect() }
 
+// HasCapacity reports whether a request would get a connection without waiting for another request to end.
+func (l *Link) HasCapacity() bool { return l.pool.HasCapacity() }
+
 // Stats returns the counters and the current numbers of connections.
 func (l *Link) Stats() Stats { return Stats{Stats: l.pool.Stats(), Crossed: l.crossed.Load()} }
 
--- a/internal/upstream/pool/pool.go
+++ b/internal/upstream/pool/pool.go
@@ -147,6 +147,13 @@
 	return true
 }
 
+// HasCapacity reports whether a request would get a connection without waiting for another request to end.
+func (p *Pool) HasCapacity() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0 || (len(p.waiters) == 0 && p.canOpen())
+}
+
 // Release returns a connection to the pool. It closes the connection if it is not healthy or no longer needed.
 func (p *Pool) Release(c *connection.Connection, healthy bool) {
 	p.mu.Lock()
