--- a/internal/settings/deployment/deployment.go
+++ b/internal/settings/deployment/deployment.go
@@ -10,6 +10,13 @@
 	"crocuswing/internal/settings/address"
 )
 
+// Limits on the numbers of the settings, far above those of any deployment.
+const (
+	MaxBoundTime   = 24 * time.Hour
+	MaxCount       = 1 << 30
+	MaxMemoryBytes = 1 << 50
+)
+
 // Settings are the immutable settings of one instance. Addresses are "IP:port" literals.
 type Settings struct {
 	Instance      string
@@ -95,6 +102,9 @@
 			return &Error{Key: a.key, Reason: reason}
 		}
 	}
+	if s.MemoryBytes < 0 || s.MemoryBytes > MaxMemoryBytes {
+		return &Error{Key: "memory", Reason: fmt.Sprintf("is %d bytes, want 0 to %d", s.MemoryBytes, int64(MaxMemoryBytes))}
+	}
 	return s.check()
 }
 
@@ -108,12 +118,22 @@
 		{"stop-time", b.MaxStopTime.Seconds()},
 		{"extra-window", b.ExtraWindow.Seconds()},
 	} {
-		if r.value <= 0 {
-			return &Error{Key: r.key, Reason: "want a number above 0"}
+		if r.value <= 0 || r.value > MaxBoundTime.Seconds() {
+			return &Error{Key: r.key, Reason: fmt.Sprintf("want a number above 0 and at most %v", MaxBoundTime)}
 		}
 	}
-	if b.ExtraRatio < 0 || b.ExtraSlack < 0 || b.ColdFactor < 0 || b.ColdSlack < 0 {
-		return &Error{Key: "extra-ratio, extra-slack, cold-factor, cold-slack", Reason: "want numbers of at least 0"}
+	for _, r := range []struct {
+		key   string
+		value float64
+	}{
+		{"extra-ratio", b.ExtraRatio},
+		{"extra-slack", float64(b.ExtraSlack)},
+		{"cold-factor", b.ColdFactor},
+		{"cold-slack", float64(b.ColdSlack)},
+	} {
+		if !(r.value >= 0 && r.value <= MaxCount) { // false for NaN too
+			return &Error{Key: r.key, Reason: fmt.Sprintf("is %g, want 0 to %d", r.value, MaxCount)}
+		}
 	}
 	return nil
 }
