refactor: second reading of the leaving upstreams and the aggregators

The error of the call for late parts is in the log line. TestDelegatedWorkIsNotDenied passed with its mechanism undone, since the late shard had attempts of its own; it now plays requests without late parts too and fails then. Long comment lines, names and comments of limits.

--- a/internal/forward/runner/delegation.go
+++ b/internal/forward/runner/delegation.go
@@ -16,8 +16,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// minDelegatedShards is the number of shards from which one merged answer of an aggregator takes fewer bytes than the parts themselves, also
-// if these are small.
+// minDelegatedShards is the number of shards from which one merged answer of an aggregator takes fewer bytes than the parts
+// themselves, also if these are small.
 const minDelegatedShards = 2
 
 // minAggregatorConnections is the number of connections to each upstream from which an instance can take the requests of others as well.
@@ -26,11 +26,13 @@
 
 // Aggregators selects instances of other regions and asks them for parts.
 type Aggregators interface {
+	// Pick returns an instance of the region for a request, and false if none is known to answer.
 	Pick(region, requestID string) (membership.Member, bool)
 	// Gather fails with *client.UnsentError or *client.RefusedError if no upstream has received anything.
 	Gather(ctx context.Context, m membership.Member, q aggregator.Request) (aggregator.Reply, error)
 	// Rest asks for the parts that were late in the reply to Gather.
 	Rest(ctx context.Context, m membership.Member, id string, late aggregator.Set) (aggregator.Reply, error)
+	// Answered records that the instance has answered in time, and Missed that it has not or has refused.
 	Answered(m membership.Member)
 	Missed(m membership.Member)
 }
@@ -160,9 +162,7 @@
 // handleResult records the parts that the aggregator has gathered, and asks for those that are late. Its other shards fall back.
 func (d *delegation) handleResult(res delegationResult, now time.Time) {
 	if res.isRest {
-		if res.err == nil {
-			d.complete(res.reply)
-		}
+		d.handleRest(res)
 		return
 	}
 	d.hasEnded, d.lateAt, d.took = true, time.Time{}, now.Sub(d.start)
@@ -185,6 +185,15 @@
 	}
 }
 
+// handleRest records the late parts, or why there are none. The attempts of this instance on their shards go on in either case.
+func (d *delegation) handleRest(res delegationResult) {
+	if res.err != nil {
+		d.outcome += ", late parts: " + res.err.Error()
+		return
+	}
+	d.complete(res.reply)
+}
+
 // callRest asks for the late parts, in addition to the attempts of this instance on their shards.
 func (d *delegation) callRest(late aggregator.Set) {
 	if late.Len() == 0 {
@@ -271,8 +280,8 @@
 	s.response, s.proof = r, proof
 }
 
-// sendAfterDelegation sends the first attempt of this instance on a shard whose part an aggregator has not got in time. It prefers upstreams
-// in other regions than the aggregator's, since that may have sent the request to the ones near it.
+// sendAfterDelegation sends the first attempt of this instance on a shard whose part an aggregator has not got in time. It prefers
+// upstreams outside the region of the aggregator, which may have sent the request to those near it.
 func (s *subrequest) sendAfterDelegation(now time.Time) {
 	r, ok := s.cluster.Pick(balancer.Retry, s.route, s.cluster.Names(s.delegatedRegion, true), s.timing())
 	if !ok {
--- a/internal/forward/runner/delegation_test.go
+++ b/internal/forward/runner/delegation_test.go
@@ -289,33 +289,67 @@
 	})
 }
 
-// TestDelegatedWorkIsNotDenied lets all shards but the distant ones refuse requests, some of whose distant parts are late. The requests
+// TestDelegatedWorkIsNotDenied lets all shards but the distant ones refuse requests, with and without late distant parts. The requests
 // fail, and none may be refused as not run, since the upstreams of the distant shards ran them.
 func TestDelegatedWorkIsNotDenied(t *testing.T) {
+	for _, slowdown := range []float64{1, 8} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRegions(t)
+			defer r.stopAll()
+			r.GenerateLoad(20, 2*time.Second, 600*time.Millisecond, r.runner.Run)
+			for _, p := range r.AllReplicas() {
+				if !isDistant(p.ID()[:3]) {
+					p.SetShed(1)
+				} else if p.ID()[:3] == "s03" {
+					p.SetSlowdown(slowdown)
+				}
+			}
+			failed := 0
+			for _, o := range r.GenerateLoad(5, 4*time.Second, 600*time.Millisecond, r.runner.Run) {
+				ran := 0
+				for _, p := range r.AllReplicas() {
+					ran += p.Runs()[o.ID]
+				}
+				if o.Status == http.StatusServiceUnavailable {
+					require.Zero(t, ran, "request %s was refused", o.ID)
+				} else {
+					failed++
+				}
+			}
+			require.Positive(t, failed)
+		})
+	}
+}
+
+// TestAggregatorLeavesOutStuckShard checks that an aggregator sends no request for a shard whose upstreams do not answer it at present, so
+// that the instance that asks can go on without an extra attempt.
+func TestAggregatorLeavesOutStuckShard(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRegions(t)
 		defer r.stopAll()
+		const stuck, sound = 3, 6
+		aggregate := func() aggregator.Reply {
+			q := r.NewRequest(600 * time.Millisecond)
+			rep, err := r.other.Aggregate(t.Context(), aggregator.Request{
+				ID: q.ID, Method: q.Method, Target: q.Target, Path: q.Path, Host: q.Host, Revision: 1,
+				Shards: aggregator.Set{}.With(stuck).With(sound), TimeLeftUS: q.Timeout.Microseconds(),
+			})
+			require.NoError(t, err)
+			return rep
+		}
 		r.GenerateLoad(20, 2*time.Second, 600*time.Millisecond, r.runner.Run)
-		for _, p := range r.AllReplicas() {
-			if !isDistant(p.ID()[:3]) {
-				p.SetShed(1)
-			} else if p.ID()[:3] == "s03" {
-				p.SetSlowdown(8)
-			}
+		require.Equal(t, 2, aggregate().Answered.Len())
+		for _, p := range r.Replicas["s03"] {
+			p.SetUnresponsive(true)
 		}
-		failed := 0
-		for _, o := range r.GenerateLoad(5, 4*time.Second, 600*time.Millisecond, r.runner.Run) {
-			ran := 0
-			for _, p := range r.AllReplicas() {
-				ran += p.Runs()[o.ID]
-			}
-			if o.Status == http.StatusServiceUnavailable {
-				require.Zero(t, ran, "request %s was refused", o.ID)
-			} else {
-				failed++
-			}
+		for range 9 {
+			go aggregate()
 		}
-		require.Positive(t, failed)
+		time.Sleep(150 * time.Millisecond)
+		rep := aggregate()
+		require.True(t, rep.Answered.Has(sound))
+		require.False(t, rep.Answered.Has(stuck))
+		require.False(t, rep.Sent.Has(stuck))
 	})
 }
 
--- a/internal/peer/server/session.go
+++ b/internal/peer/server/session.go
@@ -165,10 +165,10 @@
 	if !ok {
 		return refusal(m.ID, frame.CodeNoMethod, "there is no method "+m.Method)
 	}
-	value, err := any(nil), nesting.Check(m.Body)
-	if err == nil {
-		value, err = handler(ctx, m.Body)
+	if err := nesting.Check(m.Body); err != nil {
+		return refusal(m.ID, frame.CodeMethod, err.Error())
 	}
+	value, err := handler(ctx, m.Body)
 	if err != nil {
 		return refusal(m.ID, frame.CodeMethod, err.Error())
 	}
--- a/internal/query/balancer/balancer.go
+++ b/internal/query/balancer/balancer.go
@@ -101,8 +101,8 @@
 }
 
 // Pick returns the index of the replica for an attempt, and false if no replica is eligible. It compares a random one of the nearest
-// replicas with another random one. Replicas that need a new connection are considered only if there are no others, and suspect and
-// full ones last. tailLatency is as in Candidate.IsEligible; intn returns a random number in [0, n).
+// replicas with another random one. Replicas that need a new connection are considered only if there are no others, then suspect
+// and full ones, and leaving ones last. tailLatency is as in Candidate.IsEligible; intn returns a random number in [0, n).
 func Pick(candidates []Candidate, p Purpose, tailLatency time.Duration, intn func(n int) int) (int, bool) {
 	var buf [16]int
 	best := buf[:0]
--- a/internal/upstream/cluster/cluster.go
+++ b/internal/upstream/cluster/cluster.go
@@ -1,7 +1,8 @@
 // Package cluster holds the upstreams of one service, its replicas, and picks the one for each attempt of the forward runner.
 //
 // It skips the replicas that must not receive requests: those that are draining, excluded, shedding load or at their cold rate. One
-// that has announced that it is leaving is the last resort for a part of the drain time. Package balancer ranks the rest. A cluster also selects the subset of the replicas to which this instance keeps connections.
+// that has announced that it is leaving is the last resort for a part of the drain time. Package balancer ranks the rest. A cluster also
+// selects the subset of the replicas to which this instance keeps connections.
 package cluster
 
 import (
--- a/internal/upstream/connection/response.go
+++ b/internal/upstream/connection/response.go
@@ -12,7 +12,10 @@
 // this size as their data arrives, so that an announced length alone reserves no memory.
 const smallBodyBytes = 64 << 10
 
-const bytesPerUnit = 1 << 10 // of the limit on the memory of large bodies
+const (
+	initialBodyBytes = 512     // initial size of the buffer for a body that is large or whose length is not known
+	bytesPerUnit     = 1 << 10 // of the limit on the memory of large bodies
+)
 
 // headReader limits the bytes that are read until the end of the headers.
 type headReader struct {
@@ -123,9 +126,6 @@
 	}
 }
 
-// initialBodyBytes is the initial size of the buffer for a body whose length is not known.
-const initialBodyBytes = 512
-
 // reserve takes the units for a buffer of the given size, or fails if the limit does not permit them. While a buffer is copied, both
 // copies count.
 func (b *bodyReader) reserve(size int) error {
--- a/internal/upstream/link/forward.go
+++ b/internal/upstream/link/forward.go
@@ -39,8 +39,8 @@
 	CheckResponse func(status int, h http.Header) error
 }
 
-// Forward sends a request and returns its complete response, whatever its status. The caller frees the response. Forward fails with *failure.Failure, whose NotRun is
-// true if and only if no byte was sent.
+// Forward sends a request and returns its complete response, whatever its status. The caller frees the response. Forward fails with
+// *failure.Failure, whose NotRun is true if and only if no byte was sent.
 func (l *Link) Forward(ctx context.Context, req Request) (connection.Response, error) {
 	for {
 		c, err := l.acquire(ctx, req.NonIdempotent)
--- a/internal/upstream/retryafter/retryafter.go
+++ b/internal/upstream/retryafter/retryafter.go
@@ -13,7 +13,7 @@
 // Max is the longest pause that a value can ask for. It limits the effect of a value that is absurd, or of a clock that is far off.
 const Max = time.Hour
 
-const name = "Retry-After"
+const headerName = "Retry-After"
 
 // Parse returns the pause that the Retry-After headers of a response ask for (RFC 9110, section 10.2.3), or 0 if they ask for none.
 //
@@ -22,7 +22,7 @@
 // are several, the longest counts.
 func Parse(h http.Header, now time.Time) time.Duration {
 	var longest time.Duration
-	for _, value := range h[name] {
+	for _, value := range h[headerName] {
 		longest = max(longest, parse(strings.TrimSpace(value), h, now))
 	}
 	return longest
