--- a/internal/forward/runner/delegation_test.go
+++ b/internal/forward/runner/delegation_test.go
@@ -339,13 +339,19 @@
 		}
 		r.GenerateLoad(20, 2*time.Second, 600*time.Millisecond, r.runner.Run)
 		require.Equal(t, 2, aggregate().Answered.Len())
+		arrivals := make(map[string]int)
 		for _, p := range r.Replicas["s03"] {
 			p.SetUnresponsive(true)
+			arrivals[p.ID()] = len(p.ArrivalTimes())
 		}
-		for range 9 {
-			go aggregate()
+		for _, p := range r.Replicas["s03"][1:] { // those in the region of the aggregator
+			for n := 0; len(p.ArrivalTimes()) == arrivals[p.ID()]; n++ {
+				require.Less(t, n, 100)
+				go aggregate()
+				time.Sleep(5 * time.Millisecond)
+			}
 		}
-		time.Sleep(150 * time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
 		rep := aggregate()
 		require.True(t, rep.Answered.Has(sound))
 		require.False(t, rep.Answered.Has(stuck))
