--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -13,6 +13,7 @@
 	"crocuswing/internal/command/check"
 	"crocuswing/internal/command/demo"
 	"crocuswing/internal/command/experiment"
+	"crocuswing/internal/command/explain"
 	"crocuswing/internal/command/load"
 	"crocuswing/internal/command/serve"
 	"crocuswing/internal/command/soak"
@@ -41,6 +42,7 @@
 		platform.New(stdout, stderr),
 		check.New(stdout, stderr),
 		status.New(stdout, stderr),
+		explain.New(os.Stdin, stdout, stderr),
 		demo.New(stdout, stderr),
 		experiment.New(stdout, stderr),
 		load.New(stdout, stderr),
