--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -32,11 +33,24 @@
 
 var zones = [][2]string{{"south-a", "south"}, {"south-a", "south"}, {"central-a", "central"}, {"north-a", "north"}}
 
+// usedPorts are the ports that freePort has returned.
+var usedPorts = make(map[int]bool)
+
+// freePort returns a free port below those that the system gives to outgoing connections.
 func freePort() int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+	for {
+		port := 11000 + rand.Intn(20000)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		if usedPorts[port] {
+			continue
+		}
+		usedPorts[port] = true
+		return port
+	}
 }
 
 // newFleet prepares the settings files of n instances.
@@ -57,7 +71,7 @@
 		}
 	}
 	for i, in := range f.instances {
-		text := fmt.Sprintf(settingsText, in.name, in.zone, in.region, ports[i], ports[i]+15, strings.Join(seeds, ","), in.front, in.ready, in.control, st.address)
+		text := fmt.Sprintf(settingsText, in.name, in.zone, in.region, ports[i], ports[i]+15, strings.Join(seeds, ","), in.front, in.ready, in.control, st.listen(i))
 		check(os.WriteFile(in.file, []byte(text), 0o600))
 	}
 	return f
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,6 +17,7 @@
 		"twice":     playTwice,
 		"cold":      playCold,
 		"zone-loss": playZoneLoss,
+		"gone":      playGone,
 	}[os.Args[1]]
 	if !ok {
 		fail("unknown case %s", os.Args[1])
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -14,12 +14,12 @@
 
 // store is the platform's metadata store: items by key, and their history.
 type store struct {
-	address string
-
 	mu       sync.Mutex
 	revision int64
 	items    map[string]item
 	history  []item
+	reader   int       // the instance that was told of changes last
+	readAt   time.Time // when it was
 }
 
 // item is an item as the store returns it.
@@ -37,15 +37,21 @@
 
 func newStore() *store {
 	s := &store{revision: 100, items: make(map[string]item)}
+	return s
+}
+
+// listen returns the address of the store for an instance.
+func (s *store) listen(instance int) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
-	s.address = l.Addr().String()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/kv-key", s.getKey)
 	mux.HandleFunc("GET /v1/kv-range", s.getRange)
-	mux.HandleFunc("GET /v1/kv-watch", s.watch)
+	mux.HandleFunc("GET /v1/kv-watch", func(w http.ResponseWriter, r *http.Request) {
+		s.watch(w, r, instance)
+	})
 	go func() { _ = http.Serve(l, mux) }()
-	return s
+	return l.Addr().String()
 }
 
 // put writes a value and returns when the store has accepted it.
@@ -113,7 +119,7 @@
 	writeJSON(w, map[string]any{"items": page, "truncated": truncated, "storeRevision": s.revision})
 }
 
-func (s *store) watch(w http.ResponseWriter, r *http.Request) {
+func (s *store) watch(w http.ResponseWriter, r *http.Request, instance int) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("waitMs"))
@@ -128,6 +134,9 @@
 				events = append(events, i)
 			}
 		}
+		if len(events) > 0 {
+			s.reader, s.readAt = instance, time.Now()
+		}
 		s.mu.Unlock()
 		if len(events) > 0 || !time.Now().Before(end) {
 			writeJSON(w, map[string]any{"events": events, "storeRevision": revision})
@@ -137,6 +146,19 @@
 	}
 }
 
+// awaitReader returns the instance that is the first to be told of changes made after the given time.
+func (s *store) awaitReader(since time.Time) int {
+	for {
+		s.mu.Lock()
+		reader, at := s.reader, s.readAt
+		s.mu.Unlock()
+		if at.After(since) {
+			return reader
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
