fix(forward): an attempt cannot be sent while its hedge is decided

Cause: an attempt that waits for a connection longer than its hedge delay is replaced. hedge looked whether it had been sent, picked another replica and withdrew it last, and went on if the withdrawal failed. An attempt that got its connection in between was sent, and so was the hedge. Idempotent requests reached one upstream more than maxAttempts in the same way.

Change: hedge holds the gate of the attempt from its first look to the withdrawal. The attempt is sent before, and an order is not hedged, or it is withdrawn for good. It is withdrawn only if the retry budget permits the hedge. Refusals and failures withdrew by the gate before already. Orders of the product's own contract are not hedged.

--- a/internal/forward/runner/runner_test.go
+++ b/internal/forward/runner/runner_test.go
@@ -91,15 +91,15 @@
 	require.False(t, withdrawn.isSent())
 }
 
-// requireAtMostOnce compares the requests that upstreams ran with the replies to callers.
-func (h *harness) requireAtMostOnce(outcomes []outcome.Outcome) {
+// requireNoneTwice checks that no request ran twice and that none that ran got a status that implies that it did not. It returns the
+// number of requests that got an answer.
+func (h *harness) requireNoneTwice(outcomes []outcome.Outcome) (answered int) {
 	runs := make(map[string]int)
 	for _, p := range h.AllReplicas() {
 		for id, n := range p.Runs() {
 			runs[id] += n
 		}
 	}
-	answered := 0
 	for _, o := range outcomes {
 		require.LessOrEqual(h, runs[o.ID], 1, "request %s", o.ID)
 		if impliesNotRun(o.Status) {
@@ -113,7 +113,12 @@
 			require.Equal(h, replica.Part(id, o.ID, 12), o.Reply.Body, "the complete answer to this request")
 		}
 	}
-	require.Greater(h, answered, len(outcomes)/2)
+	return answered
+}
+
+// requireAtMostOnce compares the requests that upstreams ran with the replies to callers.
+func (h *harness) requireAtMostOnce(outcomes []outcome.Outcome) {
+	require.Greater(h, h.requireNoneTwice(outcomes), len(outcomes)/2)
 }
 
 // TestRefusedRequestsDidNotRun overloads upstreams with requests that may run only once. A refused attempt must go to another
--- a/internal/forward/runner/subrequest.go
+++ b/internal/forward/runner/subrequest.go
@@ -155,7 +155,8 @@
 	return s.plan.ReplyDeadline
 }
 
-// hedge sends another attempt if slow, the newest one in flight, is older than its hedge delay.
+// hedge sends another attempt if slow, the newest one in flight, is older than its hedge delay. An attempt that was not sent yet is
+// replaced. While the hedge is decided, slow cannot begin to be sent: otherwise both could reach an upstream.
 func (s *subrequest) hedge(slow *attempt, now time.Time) {
 	if late := slow.start.Add(s.plan.HedgeDelay(slow.replica.Distance())); now.Before(late) {
 		s.dueAt = late
@@ -164,6 +165,7 @@
 	if s.isAggregate {
 		return // the instance that asked sends the hedge
 	}
+	defer slow.gate.hold()()
 	if s.route.NonIdempotent && slow.gate.isSent() {
 		return
 	}
@@ -179,13 +181,13 @@
 		s.scheduleRecheck(now)
 		return
 	}
-	if slow.gate.withdraw() {
-		slow.cancel() // it was not sent and never will be: the hedge replaces it
-	}
 	if !s.allowExtra(s.cluster.SpendAboveReserve) {
 		s.scheduleRecheck(now)
 		return
 	}
+	if slow.gate.withdraw() {
+		slow.cancel() // the hedge replaces it
+	}
 	s.meter.Count("crocuswing_forward_hedges_total")
 	s.send(r, now)
 }
