fix(published): an instance decides alone whether the store was away

Cause: after an outage of the store an instance keeps removed upstreams for a grace period, as lapsed registrations return. A reader that was frozen takes its gap for an outage. It sent the grace period with its answers, and the instances that read from it took it over, though the store had answered them meanwhile. In virtual time the frozen reader alone logs "store regained", and the calm instances keep what was removed for 2.5 s from then on. Ruled out: removals that arrive late at calm instances, and requests that wait: the views had the upstreams.

Change: the grace period does not leave the instance. It starts only if reads of this instance have failed for as long as a registration takes to lapse, two intervals of reports, which the settings of the platform name; or after a long gap of its own reads, as before.

Tests: TestRemovalWhileReaderIsFrozen and TestRemovalWhileOthersAreDisturbed failed before ("i-0 has upstream 0 3s after its removal"). TestLapseDuringOutage held before and holds: upstreams whose registration lapses in an outage of 2.4 or 6 s stay in use at all instances.

--- a/internal/published/change/change.go
+++ b/internal/published/change/change.go
@@ -56,8 +56,6 @@
 	Relayed bool
 	// Age is the time since the store confirmed the content of the batch.
 	Age time.Duration
-	// GracePeriod is the remaining time in which upstreams may register again after an outage of the store.
-	GracePeriod time.Duration
 }
 
 // CompactedError reports that the store no longer holds the changes after a revision.
--- a/internal/published/follower/follower.go
+++ b/internal/published/follower/follower.go
@@ -36,6 +36,9 @@
 	// maxGapIntervals is the number of intervals, in addition to half of changesTimeout, without a successful read after which the gap
 	// is treated like an outage of the store.
 	maxGapIntervals = 3
+	// lapseReports is the number of consecutive reports that an upstream misses before its registration lapses. The first of them may be
+	// due at the start of an outage of the store, so that an outage shorter than lapseReports-1 intervals lets none lapse.
+	lapseReports = 3
 )
 
 // Source is the store or a relay in front of it.
@@ -60,7 +63,9 @@
 	started   time.Time
 	failures  int
 	hasView   bool
-	invalid   invalidItems
+	// reportInterval is the interval between two reports of an upstream, in nanoseconds; 0 if unknown.
+	reportInterval atomic.Int64
+	invalid        invalidItems
 }
 
 // Option configures a Follower.
@@ -91,6 +96,9 @@
 	return f
 }
 
+// SetReportInterval sets the interval at which upstreams report to the store.
+func (f *Follower) SetReportInterval(d time.Duration) { f.reportInterval.Store(int64(d)) }
+
 // Await returns the changes after a revision as soon as there are any, or an update without items when ctx ends.
 func (f *Follower) Await(ctx context.Context, revision int64) state.Update {
 	return f.state.Await(ctx, revision)
@@ -169,17 +177,32 @@
 	return f.source.Read(ctx)
 }
 
-// recordSuccess resets the failure count and, after failed reads or a long gap between reads, starts the grace period. A gap also
-// occurs when this process was paused.
+// recordSuccess resets the failure count and, after an outage of the store, starts the grace period.
 func (f *Follower) recordSuccess(now time.Time) {
-	age, ok := f.Age()
-	if f.failures > 0 || (ok && age > maxGapIntervals*f.interval+changesTimeout/2) {
+	age, _ := f.Age()
+	isOutage := f.isOutage()
+	if f.failures > 0 || isOutage {
+		f.log.Info("store regained", zap.Int("failed-reads", f.failures), zap.Duration("silent-for", age), zap.Bool("grace-period", isOutage))
+	}
+	if isOutage {
 		f.state.StoreRecovered(now)
-		f.log.Info("store regained", zap.Int("failed-reads", f.failures), zap.Duration("silent-for", age))
 	}
 	f.failures = 0
 }
 
+// isOutage reports whether registrations of upstreams that are up may have lapsed since the last successful read, because the store was
+// unavailable: reads have failed for long enough, or there was a long gap between reads, which also occurs when this process
+// was paused. What other instances have seen does not count: the one that answers may have been paused or cut off while the store was
+// available to this one.
+func (f *Follower) isOutage() bool {
+	age, ok := f.Age()
+	if !ok {
+		return f.failures > 0
+	}
+	lapse := (lapseReports - 1) * time.Duration(f.reportInterval.Load())
+	return (f.failures > 0 && age >= lapse) || age > maxGapIntervals*f.interval+changesTimeout/2
+}
+
 // recordFailure counts a failed read and returns the delay before the next one, with jitter to spread the instances.
 func (f *Follower) recordFailure(err error) time.Duration {
 	f.failures++
--- /dev/null
+++ b/internal/published/relay/outage_test.go
@@ -0,0 +1,351 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"crocuswing/internal/fleet/membership"
+	"crocuswing/internal/published/change"
+	"crocuswing/internal/published/follower"
+	"crocuswing/internal/published/registration"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+const (
+	// drainTime is the time after the removal of an upstream from which no instance may send to it.
+	drainTime = 3 * time.Second
+	// returnTime is the time after an outage of the store within which upstreams that are up have registered again.
+	returnTime = 2 * time.Second
+	// reportInterval is the interval at which upstreams report. A registration lapses after three of them without a report.
+	reportInterval = 1200 * time.Millisecond
+	// lapseTime is the shortest outage of the store in which a registration lapses: the last report may be one interval old.
+	lapseTime = 2 * reportInterval
+	upstreams = "u/" // prefix of the keys of registrations
+)
+
+// registry simulates the store with the registrations of upstreams and its history.
+type registry struct {
+	mu          sync.Mutex
+	revision    int64
+	items       map[string]written
+	unavailable map[string]bool // by instance name
+}
+
+// written is an item and the revision at which it was written or removed.
+type written struct {
+	change.Item
+	revision int64
+}
+
+func (r *registry) write(i change.Item) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.revision++
+	r.items[i.Key] = written{Item: i, revision: r.revision}
+}
+
+// register writes a report of an upstream that has started at the given incarnation.
+func (r *registry) register(name string, incarnation, sequence int64) {
+	value, err := json.Marshal(registration.Registration{Upstream: name, Service: "s", Incarnation: incarnation, Sequence: sequence})
+	if err != nil {
+		panic(err)
+	}
+	r.write(change.Item{Key: upstreams + name, Value: value})
+}
+
+func (r *registry) remove(name string) { r.write(change.Item{Key: upstreams + name, Removed: true}) }
+
+// setUnavailable sets the instances that the store refuses.
+func (r *registry) setUnavailable(names ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.unavailable)
+	for _, name := range names {
+		r.unavailable[name] = true
+	}
+}
+
+// read returns the changes after a revision, or all items if it is 0.
+func (r *registry) read(instance string, after int64) (change.Batch, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.unavailable[instance] {
+		return change.Batch{}, errors.New("store unavailable")
+	}
+	b := change.Batch{Full: after == 0, Revision: r.revision}
+	for _, w := range r.items {
+		if w.revision > after && !(b.Full && w.Removed) {
+			b.Changes = append(b.Changes, decode(w.Item))
+		}
+	}
+	return b, nil
+}
+
+func decode(i change.Item) change.Change {
+	c := change.Change{Item: i, Kind: change.KindUpstream, Name: strings.TrimPrefix(i.Key, upstreams)}
+	if !i.Removed {
+		c.Registration = new(registration.Registration)
+		c.Err = json.Unmarshal(i.Value, c.Registration)
+	}
+	return c
+}
+
+// node is an instance that can be frozen. It is its own client of the store.
+type node struct {
+	*cluster
+	name    string
+	follow  *follower.Follower
+	handler func(ctx context.Context, body []byte) (any, error)
+
+	mu     sync.Mutex
+	thawed chan struct{} // closed unless the node is frozen
+}
+
+// cluster is a fleet of nodes with a common store.
+type cluster struct {
+	*registry
+	nodes map[string]*node
+	fleet *fleet // carries the calls between the nodes
+}
+
+func (n *node) freeze() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.thawed = make(chan struct{})
+}
+
+func (n *node) thaw() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	select {
+	case <-n.thawed:
+	default:
+		close(n.thawed)
+	}
+}
+
+// await blocks while the node is frozen, or until ctx ends, and reports whether the node is not frozen.
+func (n *node) await(ctx context.Context) bool {
+	n.mu.Lock()
+	thawed := n.thawed
+	n.mu.Unlock()
+	select {
+	case <-thawed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (n *node) Read(ctx context.Context) (change.Batch, error) { return n.ReadSince(ctx, 0) }
+
+func (n *node) ReadSince(_ context.Context, after int64) (change.Batch, error) {
+	const latency = 4 * time.Millisecond
+	n.await(context.Background())
+	time.Sleep(latency)
+	b, err := n.read(n.name, after)
+	n.await(context.Background())
+	return b, err
+}
+
+func (*node) Reset() {}
+
+func (*node) Decode(i change.Item) (change.Change, bool) { return decode(i), true }
+
+func (n *node) Self() membership.Member { return membership.Member{Name: n.name, Address: n.name} }
+
+func (n *node) Members() (all []membership.Member) {
+	for name := range n.nodes {
+		if name != n.name {
+			all = append(all, membership.Member{Name: name, Address: name})
+		}
+	}
+	return all
+}
+
+// Call fails when ctx ends if the called node is frozen. A frozen caller returns when it is thawed.
+func (n *node) Call(ctx context.Context, address, method string, request, reply any) error {
+	defer n.await(context.Background())
+	called := n.nodes[address]
+	if !called.await(ctx) {
+		return ctx.Err()
+	}
+	err := n.fleet.instances[n.name].Call(ctx, address, method, request, reply)
+	if !called.await(ctx) {
+		return ctx.Err()
+	}
+	return err
+}
+
+// has reports whether the view of the node contains the upstream.
+func (n *node) has(upstream string) bool {
+	_, ok := n.follow.View().Upstreams[upstream]
+	return ok
+}
+
+// runCluster starts n nodes and upstreams "0" to "9", lets them run for 5 s and calls test with the nodes in the order of the tree.
+func runCluster(t *testing.T, n int, test func(t *testing.T, c *cluster, nodes []*node)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{
+			registry: &registry{items: make(map[string]written), unavailable: make(map[string]bool)}, nodes: make(map[string]*node),
+			fleet: &fleet{instances: make(map[string]*instance), down: make(map[string]bool)},
+		}
+		for u := range 10 {
+			c.register(fmt.Sprint(u), 1, 1)
+		}
+		open := make(chan struct{})
+		close(open)
+		for k := range n {
+			x := &node{cluster: c, name: fmt.Sprintf("i-%d", k), thawed: open}
+			c.nodes[x.name] = x
+			c.fleet.instances[x.name] = &instance{fleet: c.fleet, name: x.name, handler: func(ctx context.Context, body []byte) (any, error) {
+				return x.handler(ctx, body)
+			}}
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		for _, x := range c.nodes {
+			x.follow = follower.New(New(x, x, func(string) {}), interval, zap.NewNop())
+			x.follow.SetReportInterval(reportInterval)
+			x.handler = Handler(x.follow)
+		}
+		defer group.Wait()
+		defer cancel()
+		for _, x := range c.nodes {
+			group.Go(func() { x.follow.Run(ctx) })
+			defer x.thaw()
+		}
+		time.Sleep(5 * time.Second)
+		var nodes []*node
+		for _, name := range c.fleet.treeOrder() {
+			nodes = append(nodes, c.nodes[name])
+		}
+		test(t, c, nodes)
+	})
+}
+
+// follow checks the views for d. From drainTime after its time in removed, no node may have an upstream.
+func (c *cluster) follow(t *testing.T, d time.Duration, nodes []*node, removed func() map[string]time.Time) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for _, x := range nodes {
+			for name, at := range removed() {
+				if since := time.Since(at); since >= drainTime {
+					require.False(t, x.has(name), "%s has upstream %s %v after its removal", x.name, name, since)
+				}
+			}
+		}
+	}
+}
+
+// TestRemovalWhileReaderIsFrozen guards against requests to upstreams that have left, from calm instances: the one that reads the store
+// for the others was frozen, and they took over the grace period in which it keeps what was removed.
+func TestRemovalWhileReaderIsFrozen(t *testing.T) {
+	for phase := range 10 {
+		runCluster(t, 4, func(t *testing.T, c *cluster, nodes []*node) {
+			time.Sleep(time.Duration(phase) * interval / 10)
+			reader := nodes[0]
+			reader.freeze()
+			const frozen = 5 * time.Second
+			time.AfterFunc(frozen, reader.thaw)
+			var mu sync.Mutex
+			removed := make(map[string]time.Time)
+			for u := range 10 {
+				time.AfterFunc(frozen-time.Second+time.Duration(u)*150*time.Millisecond, func() {
+					c.remove(fmt.Sprint(u))
+					mu.Lock()
+					defer mu.Unlock()
+					removed[fmt.Sprint(u)] = time.Now()
+				})
+			}
+			c.follow(t, frozen+2*drainTime, nodes[1:], func() map[string]time.Time {
+				mu.Lock()
+				defer mu.Unlock()
+				return maps.Clone(removed)
+			})
+			for _, x := range nodes {
+				require.Empty(t, x.follow.View().Upstreams, x.name)
+			}
+		})
+	}
+}
+
+// TestLapseDuringOutage lets an outage of the store, seen by some or all instances, remove upstreams that register again within
+// returnTime. No instance may drop them meanwhile, whether it has noticed the outage itself or has heard of it from another instance.
+func TestLapseDuringOutage(t *testing.T) {
+	for _, outage := range []time.Duration{lapseTime, 6 * time.Second} {
+		for phase := range 10 {
+			runCluster(t, 4, func(t *testing.T, c *cluster, nodes []*node) {
+				time.Sleep(time.Duration(phase) * interval / 10)
+				c.setUnavailable("i-0", "i-1", "i-2", "i-3")
+				time.Sleep(outage)
+				for u := range 5 {
+					c.remove(fmt.Sprint(u))
+				}
+				c.setUnavailable()
+				for u := range 5 {
+					time.AfterFunc(returnTime, func() { c.register(fmt.Sprint(u), 1, 2) })
+				}
+				for range 500 {
+					time.Sleep(10 * time.Millisecond)
+					for _, x := range nodes {
+						require.Len(t, x.follow.View().Upstreams, 10, "%s after an outage of %v", x.name, outage)
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestRemovalWhileOthersAreDisturbed freezes single nodes, and cuts single nodes off from the store, at random. Nodes that neither happens
+// to have removals in time.
+func TestRemovalWhileOthersAreDisturbed(t *testing.T) {
+	for seed := range uint64(30) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		runCluster(t, 6, func(t *testing.T, c *cluster, nodes []*node) {
+			const calm = 3 // the last nodes in rank are undisturbed
+			removed := make(map[string]time.Time)
+			next := int64(10)
+			for range 8 {
+				x := nodes[rng.IntN(len(nodes)-calm)]
+				isFreeze := rng.IntN(2) == 0
+				if isFreeze {
+					x.freeze()
+				} else {
+					c.setUnavailable(x.name)
+				}
+				left := time.Duration(rng.IntN(7000)) * time.Millisecond
+				for range 4 {
+					step := time.Duration(rng.Int64N(int64(left) + 1))
+					left -= step
+					c.follow(t, step, nodes[len(nodes)-calm:], func() map[string]time.Time { return removed })
+					name := fmt.Sprint(next - 10)
+					c.remove(name)
+					removed[name] = time.Now()
+					c.register(fmt.Sprint(next), 1, 1)
+					next++
+				}
+				if isFreeze {
+					x.thaw()
+				} else {
+					c.setUnavailable()
+				}
+				c.follow(t, time.Duration(rng.IntN(5000))*time.Millisecond, nodes[len(nodes)-calm:], func() map[string]time.Time { return removed })
+			}
+			time.Sleep(2 * drainTime)
+			for _, x := range nodes {
+				require.Len(t, x.follow.View().Upstreams, 10, x.name)
+			}
+		})
+	}
+}
--- a/internal/published/relay/relay.go
+++ b/internal/published/relay/relay.go
@@ -82,11 +82,10 @@
 
 // reply holds the changes after the revision of a request. The store confirmed them AgeMS ago.
 type reply struct {
-	Full          bool          `msgpack:"w,omitempty"`
-	Revision      int64         `msgpack:"r"`
-	Items         []change.Item `msgpack:"i,omitempty"`
-	AgeMS         int64         `msgpack:"a"`
-	GracePeriodMS int64         `msgpack:"h,omitempty"`
+	Full     bool          `msgpack:"w,omitempty"`
+	Revision int64         `msgpack:"r"`
+	Items    []change.Item `msgpack:"i,omitempty"`
+	AgeMS    int64         `msgpack:"a"`
 }
 
 // StaleError reports that the state of another instance is too old.
@@ -261,7 +260,7 @@
 		r.avoid(m.Address)
 		return change.Batch{}, err
 	}
-	b := change.Batch{Full: got.Full, Revision: got.Revision, Relayed: true, Age: age, GracePeriod: time.Duration(got.GracePeriodMS) * time.Millisecond}
+	b := change.Batch{Full: got.Full, Revision: got.Revision, Relayed: true, Age: age}
 	for _, item := range got.Items {
 		if c, ok := r.Decode(item); ok {
 			b.Changes = append(b.Changes, c)
@@ -311,6 +310,6 @@
 		defer cancel()
 		u := s.Await(waitCtx, req.Revision)
 		age, _ = s.Age()
-		return reply{Full: u.Full, Revision: u.Revision, Items: u.Items, AgeMS: age.Milliseconds() + 1, GracePeriodMS: u.GracePeriod.Milliseconds()}, nil
+		return reply{Full: u.Full, Revision: u.Revision, Items: u.Items, AgeMS: age.Milliseconds() + 1}, nil
 	}
 }
--- a/internal/published/state/state.go
+++ b/internal/published/state/state.go
@@ -34,6 +34,7 @@
 type State struct {
 	// gracePeriod is how long upstreams may take to register again after an outage of the store.
 	gracePeriod     time.Duration
+	graceUntil      time.Time
 	revision        int64
 	table           *table.Table
 	excludedDomains map[string]bool
@@ -41,7 +42,6 @@
 
 	mu                sync.Mutex
 	view              *View
-	graceUntil        time.Time
 	entries           map[string]entry // newest item, by key
 	compactedRevision int64            // highest revision of a removed item that is no longer in entries
 	changed           chan struct{}    // closed by the next publish
@@ -84,23 +84,12 @@
 
 // StoreRecovered records that the store answers again after an outage. Upstreams that it does not list are kept for the grace
 // period, because they may be about to register again.
-func (s *State) StoreRecovered(now time.Time) { s.extendGrace(now.Add(s.gracePeriod)) }
-
-func (s *State) extendGrace(until time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if until.After(s.graceUntil) {
-		s.graceUntil = until
-	}
-}
+func (s *State) StoreRecovered(now time.Time) { s.graceUntil = now.Add(s.gracePeriod) }
 
 // Apply merges a batch of changes and returns the resulting view and the rejected changes.
 func (s *State) Apply(batch change.Batch, now time.Time) (*View, []change.Change) {
 	changed := make(map[string]bool)
 	var rejected []change.Change
-	if batch.GracePeriod > 0 {
-		s.extendGrace(now.Add(batch.GracePeriod))
-	}
 	var applied []change.Change
 	if batch.Full && batch.Revision >= s.revision {
 		applied = s.removeUnlisted(batch, now, changed)
@@ -202,7 +191,7 @@
 	if !ok || u.removed {
 		return false
 	}
-	if now.Before(s.graceEnd()) && !u.Draining {
+	if now.Before(s.graceUntil) && !u.Draining {
 		isNew := !u.pendingRemoval
 		u.pendingRemoval = true
 		return isNew
@@ -212,12 +201,6 @@
 	return true
 }
 
-func (s *State) graceEnd() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.graceUntil
-}
-
 // removeUnlisted removes the items that a full batch does not list and returns their removals.
 func (s *State) removeUnlisted(batch change.Batch, now time.Time, changed map[string]bool) []change.Change {
 	listed := make(map[string]bool, len(batch.Changes))
@@ -239,9 +222,8 @@
 
 // expire removes upstreams whose grace period is over and forgets removals older than removalRetention.
 func (s *State) expire(now time.Time, changed map[string]bool) {
-	until := s.graceEnd()
 	for name, u := range s.upstreams {
-		if u.pendingRemoval && !now.Before(until) {
+		if u.pendingRemoval && !now.Before(s.graceUntil) {
 			u.pendingRemoval, u.removed, u.removedAt = false, true, now
 			changed[name] = true
 		}
--- a/internal/published/state/update.go
+++ b/internal/published/state/update.go
@@ -15,8 +15,6 @@
 	Full     bool
 	Revision int64
 	Items    []change.Item
-	// GracePeriod is the remaining time in which removed upstreams may register again.
-	GracePeriod time.Duration
 }
 
 // Await returns the changes after a revision as soon as there are any, or an update without items when ctx ends.
@@ -38,7 +36,7 @@
 func (s *State) updateSince(revision int64) (Update, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	u := Update{Full: revision == 0 || revision < s.compactedRevision, Revision: s.view.Revision, GracePeriod: max(0, time.Until(s.graceUntil))}
+	u := Update{Full: revision == 0 || revision < s.compactedRevision, Revision: s.view.Revision}
 	for _, e := range s.entries {
 		if e.revision > revision || (u.Full && !e.Removed) {
 			u.Items = append(u.Items, e.Item)
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -104,6 +104,7 @@
 	g.membership = membership.New(s.Instance, s.PeerAddress, s.Seeds, g.log, g.catalog.SetInstanceCount)
 	source := relay.New(p.Store, g.membership, g.metrics.Count)
 	g.follower = follower.New(source, pollInterval, g.log, follower.WithViewObserver(g.updateView), follower.WithCounter(g.metrics.Count))
+	g.follower.SetReportInterval(s.ReportInterval)
 	g.membership.SetFailureDomain(s.FailureDomain)
 	g.aggregators = aggregator.New(g.membership, s.Regions)
 	g.runner = runner.New(p.Protocol, g.catalog, g.follower, latencyHistory, g.metrics, g.log, runner.WithLimiter(g.subrequests),
@@ -123,6 +124,7 @@
 	}
 	g.catalog.SetSettings(s)
 	g.applyLimits(s)
+	g.follower.SetReportInterval(s.ReportInterval)
 	g.membership.SetSeeds(s.Seeds)
 	g.aggregators.SetRegions(s.Regions)
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
--- a/internal/settings/deployment/deployment.go
+++ b/internal/settings/deployment/deployment.go
@@ -44,6 +44,8 @@
 type Bounds struct {
 	// DrainTime is how long an upstream keeps serving after it announced that it is draining.
 	DrainTime time.Duration
+	// ReportInterval is the interval at which upstreams report to the store; 0 if unknown.
+	ReportInterval time.Duration
 	// MaxApplyTime is the time within which a new configuration has to be in force.
 	MaxApplyTime time.Duration
 	// MaxStopTime is the maximum duration of a planned stop.
@@ -122,6 +124,9 @@
 			return &Error{Key: r.key, Reason: fmt.Sprintf("want a number above 0 and at most %v", MaxBoundTime)}
 		}
 	}
+	if b.ReportInterval < 0 || b.ReportInterval > MaxBoundTime {
+		return &Error{Key: "report-interval", Reason: fmt.Sprintf("is %v, want 0 to %v", b.ReportInterval, MaxBoundTime)}
+	}
 	for _, r := range []struct {
 		key   string
 		value float64
--- a/internal/soak/site/site.go
+++ b/internal/soak/site/site.go
@@ -54,7 +54,7 @@
 
 // Bounds are the bounds in the settings of all instances. They are those of the users' smallest deployment.
 var Bounds = deployment.Bounds{
-	DrainTime: 3 * time.Second, MaxApplyTime: 3 * time.Second, MaxStopTime: 6 * time.Second,
+	ReportInterval: 1200 * time.Millisecond, DrainTime: 3 * time.Second, MaxApplyTime: 3 * time.Second, MaxStopTime: 6 * time.Second,
 	ExtraRatio: 0.2, ExtraSlack: 58, ExtraWindow: 10 * time.Second, ColdFactor: 1.5, ColdSlack: 5,
 }
 
