fix(published): removed upstreams are gone when the grace period ends

Callers saw nothing. After an outage of the store, or a freeze of the instance, an upstream that had left stayed in use after the end of the grace period until the next answer of the store or of another instance, which holds a call for up to a second.

Cause: expired removals were looked for after each read only. Change: a timer removes them at the end of the period.

The period is two seconds, the interval of reads and 0.2 s for the tree of instances; it had covered the two seconds and half of the interval.

Test: TestRemovalAtEndOfGracePeriod failed before.

--- a/internal/published/follower/follower.go
+++ b/internal/published/follower/follower.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,8 +18,10 @@
 )
 
 const (
-	// gracePeriod covers the two seconds within which upstreams register again after an outage of the store, and one interval.
-	gracePeriod = 2500 * time.Millisecond
+	// returnTime is the time after an outage of the store within which upstreams that are up have registered again.
+	returnTime = 2 * time.Second
+	// relayTime is the longest time that a change takes through the tree of instances.
+	relayTime = 200 * time.Millisecond
 	// changesTimeout is long enough for an ancestor in the tree of instances to time out and the store to answer afterwards.
 	changesTimeout = 4 * time.Second
 	// maxTransit is the longest one-way network latency between regions.
@@ -58,7 +61,6 @@
 	log       *zap.Logger
 	onView    func(*state.View)
 	count     func(name string)
-	state     *state.State
 	confirmed atomic.Int64 // when the store last confirmed the view, in nanoseconds since started
 	started   time.Time
 	failures  int
@@ -66,6 +68,10 @@
 	// reportInterval is the interval between two reports of an upstream, in nanoseconds; 0 if unknown.
 	reportInterval atomic.Int64
 	invalid        invalidItems
+
+	mu     sync.Mutex // for changes of the state and calls of onView
+	state  *state.State
+	expiry *time.Timer // calls removeExpired at the end of the grace period
 }
 
 // Option configures a Follower.
@@ -87,7 +93,7 @@
 		log:      log,
 		onView:   func(*state.View) {},
 		count:    func(string) {},
-		state:    state.New(gracePeriod),
+		state:    state.New(gracePeriod(interval)),
 		started:  time.Now(),
 	}
 	for _, o := range options {
@@ -96,6 +102,10 @@
 	return f
 }
 
+// gracePeriod returns the time after an outage of the store for which removed upstreams are kept. The registrations of those that are up
+// arrive within it if the store is read at the given interval.
+func gracePeriod(interval time.Duration) time.Duration { return returnTime + interval + relayTime }
+
 // SetReportInterval sets the interval at which upstreams report to the store.
 func (f *Follower) SetReportInterval(d time.Duration) { f.reportInterval.Store(int64(d)) }
 
@@ -118,6 +128,8 @@
 
 // Run reads until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.expiry = time.AfterFunc(gracePeriod(f.interval), f.removeExpired)
+	defer f.expiry.Stop()
 	for ctx.Err() == nil {
 		started := time.Now()
 		wait := f.interval
@@ -128,9 +140,6 @@
 		case relayed:
 			wait = relayedDelay // the other instance holds the next call until it has changes
 		}
-		if v := f.state.RemoveExpired(time.Now()); v != nil {
-			f.notify(v, nil)
-		}
 		pause.For(ctx, max(0, wait-time.Since(started)))
 	}
 }
@@ -143,6 +152,8 @@
 		return false, err
 	}
 	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.recordSuccess(now)
 	confirmed := started
 	if batch.Relayed {
@@ -186,10 +197,20 @@
 	}
 	if isOutage {
 		f.state.StoreRecovered(now)
+		f.expiry.Reset(gracePeriod(f.interval))
 	}
 	f.failures = 0
 }
 
+// removeExpired removes the upstreams that have not registered again within the grace period.
+func (f *Follower) removeExpired() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if v := f.state.RemoveExpired(time.Now()); v != nil {
+		f.notify(v, nil)
+	}
+}
+
 // isOutage reports whether registrations of upstreams that are up may have lapsed since the last successful read, because the store was
 // unavailable: reads have failed for long enough, or there was a long gap between reads, which also occurs when this process
 // was paused. What other instances have seen does not count: the one that answers may have been paused or cut off while the store was
--- a/internal/published/state/state.go
+++ b/internal/published/state/state.go
@@ -29,7 +29,7 @@
 	Changed []string
 }
 
-// State keeps the newest version of all published items. Apply, StoreRecovered and RemoveExpired must be called by one goroutine;
+// State keeps the newest version of all published items. Apply, StoreRecovered and RemoveExpired must not be called concurrently;
 // the other methods are safe for concurrent use.
 type State struct {
 	// gracePeriod is how long upstreams may take to register again after an outage of the store.
