fix(gateway): a planned stop ends no request without an answer

What callers saw: with a time limit that goes beyond the end of a planned stop, an order was passed on to an upstream and its connection closed without an answer, also if its body came only late in the grace.

Cause: the stop closed what was open at its end, and the deadlines of requests did not know that end.

Change: Runner.Stop bounds the plans of all requests, in progress and later ones. Replies are due 0.1 s before the connections are closed: what has arrived of a merged answer, 504, or 503 if nothing was sent. A non-idempotent request that may take longer is refused on arrival, since another instance can give it its whole time.

--- a/internal/forward/runner/execution.go
+++ b/internal/forward/runner/execution.go
@@ -30,6 +30,7 @@
 	revision    int64 // of the configuration
 	plan        timing.Plan
 	isAggregate bool      // gathers parts for another instance
+	isCutShort  bool      // this instance stops before the request's time is over
 	wakeAt      time.Time // when the loop checks whether the reply is due, in addition to other events; zero if never
 
 	subrequests       []*subrequest
@@ -44,6 +45,10 @@
 
 func newExecution(r *Runner, req request.Request, rt *route.Route, revision int64) *execution {
 	e := &execution{Runner: r, request: req, route: rt, revision: revision, plan: r.planner.Plan(req, rt)}
+	if end := r.end.Load(); end != nil {
+		e.isCutShort = end.Before(e.plan.ReplyDeadline)
+		e.plan = e.plan.WithEnd(*end)
+	}
 	services, required := rt.Shards, rt.MinParts()
 	if !rt.IsGather() {
 		services, required = []string{r.splitter.Next(rt)}, 1
@@ -64,6 +69,9 @@
 	if !now.Before(e.plan.ReplyDeadline) {
 		return refused("no time is left")
 	}
+	if e.isCutShort && e.route.NonIdempotent {
+		return refused("this instance stops before the time of the request is over")
+	}
 	if available, wait := e.available(now); available < e.required {
 		return refusedFor(fmt.Sprintf("%d of %d services have an upstream that may take work", available, len(e.subrequests)), wait)
 	}
@@ -100,6 +108,7 @@
 func (e *execution) loop(ctx context.Context, isDue func(now time.Time) bool) bool {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	stopping := e.stopping
 	for {
 		now := time.Now()
 		if isDue(now) {
@@ -114,6 +123,9 @@
 		case <-timer.C:
 			e.handlePendingResults()
 			e.advanceDue(time.Now())
+		case <-stopping:
+			stopping = nil
+			e.plan = e.plan.WithEnd(*e.end.Load())
 		case <-ctx.Done():
 			e.cancelAll()
 			return false
--- a/internal/forward/runner/runner.go
+++ b/internal/forward/runner/runner.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"crocuswing/internal/forward/reply"
@@ -74,6 +75,8 @@
 	inFlight group.Group
 	limiter  *limiter.Limiter
 	started  time.Time
+	stopping chan struct{} // closed by Stop
+	end      atomic.Pointer[time.Time]
 
 	region      string      // of this instance
 	aggregators Aggregators // nil if there are none
@@ -104,6 +107,7 @@
 		log:      log,
 		limiter:  limiter.New(0),
 		started:  time.Now(),
+		stopping: make(chan struct{}),
 	}
 	for _, o := range options {
 		o(r)
@@ -120,6 +124,13 @@
 	return rep
 }
 
+// Stop makes all requests, those in progress and later ones, get a reply by end. A non-idempotent request that may take longer is refused
+// when it arrives. Stop must be called at most once.
+func (r *Runner) Stop(end time.Time) {
+	r.end.Store(&end)
+	close(r.stopping)
+}
+
 // Wait blocks until no attempt is in flight or ctx ends.
 func (r *Runner) Wait(ctx context.Context) { r.inFlight.Wait(ctx) }
 
--- a/internal/forward/timing/timing.go
+++ b/internal/forward/timing/timing.go
@@ -105,6 +105,21 @@
 // HedgeDelay returns the age at which an attempt at a distance is hedged.
 func (p Plan) HedgeDelay(d balancer.Distance) time.Duration { return p.HedgeDelays[d] }
 
+// WithEnd returns the plan of the request if its reply has to be sent by end at the latest.
+func (p Plan) WithEnd(end time.Time) Plan {
+	p.Objective = earlier(p.Objective, end)
+	p.ReplyDeadline = earlier(p.ReplyDeadline, end)
+	p.Deadline = earlier(p.Deadline, end.Add(replyMargin))
+	return p
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // RecordLatency records the latency of an answered attempt at a distance.
 func (p *Planner) RecordLatency(route string, at balancer.Distance, d time.Duration) {
 	p.route(route).latencies[at].Add(d)
--- a/internal/forward/timing/timing_test.go
+++ b/internal/forward/timing/timing_test.go
@@ -79,3 +79,15 @@
 	require.Equal(t, 25*time.Millisecond, plan.HedgeDelay(balancer.SameRegion), "no latency is known")
 	require.InDelta(t, 50, plan.ExtraLatency[balancer.OtherRegion].Milliseconds(), 1)
 }
+
+// TestWithEnd checks that an end shortens the times of a plan and never extends them.
+func TestWithEnd(t *testing.T) {
+	q := newRequest(600 * time.Millisecond)
+	plan := New().Plan(q, &search)
+	require.Equal(t, plan, plan.WithEnd(plan.Deadline))
+	end := q.Arrived.Add(300 * time.Millisecond)
+	cut := plan.WithEnd(end)
+	require.Equal(t, plan.Objective, cut.Objective)
+	require.Equal(t, end, cut.ReplyDeadline)
+	require.Equal(t, end.Add(replyMargin), cut.Deadline)
+}
--- a/internal/serve/gateway/stop.go
+++ b/internal/serve/gateway/stop.go
@@ -13,7 +13,9 @@
 	// second of margin.
 	drainDelay = 3 * time.Second
 	// stopTimeShare is the fraction of the permitted stop time that is used; the rest is for the exit of the process.
-	stopTimeShare       = 0.94
+	stopTimeShare = 0.94
+	// finalReplyTime is the time that is left, at the end of a stop, for the replies that are due then.
+	finalReplyTime      = 100 * time.Millisecond
 	peerShutdownTimeout = 100 * time.Millisecond
 )
 
@@ -23,12 +25,15 @@
 	g.inFlight.StartDraining()
 	start := time.Now()
 	timeout := time.Duration(stopTimeShare * float64(g.settings.MaxStopTime))
+	g.runner.Stop(start.Add(timeout - finalReplyTime))
 	g.log.Info("instance stops", zap.Int("requests-in-flight", g.inFlight.Requests()), zap.Duration("limit", timeout))
 	time.Sleep(min(drainDelay, timeout/2))
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(timeout))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
-		g.log.Error("requests were cut off", zap.Int("requests", g.inFlight.Requests()), zap.Error(err))
+		if n := g.inFlight.Requests(); n > 0 {
+			g.log.Error("requests were cut off", zap.Int("requests", n), zap.Error(err))
+		}
 		_ = callers.Close()
 	}
 }
