--- a/internal/published/relay/outage_test.go
+++ b/internal/published/relay/outage_test.go
@@ -85,7 +85,7 @@
 	}
 	b := change.Batch{Full: after == 0, Revision: r.revision}
 	for _, w := range r.items {
-		if w.revision > after && !(b.Full && w.Removed) {
+		if w.revision > after && (!b.Full || !w.Removed) {
 			b.Changes = append(b.Changes, decode(w.Item))
 		}
 	}
