--- a/internal/forward/runner/coincide_test.go
+++ b/internal/forward/runner/coincide_test.go
@@ -23,19 +23,19 @@
 	faults := []replica.Fault{
 		replica.Aborted, replica.Truncated, replica.WrongRequestID, replica.InternalError, replica.Unavailable, replica.NoResponse,
 	}
-	for seed := range uint64(12) {
+	for seed := range uint64(6) {
 		synctest.Test(t, func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 0))
 			topo := orderShape()
-			topo.Replicas, topo.PauseEvery, topo.Seed = 3, 0, seed
+			topo.Replicas, topo.PauseEvery, topo.Seed = 4, 0, seed
 			topo.Route.NonIdempotent = rng.IntN(2) == 0
-			topo.Route.MaxAttempts = 1 + rng.IntN(3)
-			topo.Route.Objective = time.Duration(40+rng.IntN(100)) * time.Millisecond
+			topo.Route.MaxAttempts = 1 + rng.IntN(2)
+			topo.Route.Objective = time.Duration(80+rng.IntN(300)) * time.Millisecond
 			topo.ServiceTime = func(r *rand.Rand) time.Duration { return time.Duration(4+r.IntN(8)) * time.Millisecond }
 			h := newHarness(t, topo)
 			defer h.stop()
-			h.Catalog.SetInstanceCount(1 + rng.IntN(8))
-			faultShare := rng.IntN(4)
+			h.Catalog.SetInstanceCount(3 + rng.IntN(4))
+			faultShare := rng.IntN(3)
 			for _, p := range h.AllReplicas() {
 				p.SetFault(func(r *rand.Rand) replica.Fault {
 					if r.IntN(10) < faultShare {
@@ -51,8 +51,8 @@
 				return time.Duration(1+rng.IntN(most)) * time.Millisecond
 			}
 			run := func(ctx context.Context, q request.Request) reply.Reply {
-				q.Timeout = randomTime(300)
-				if leaves := randomTime(200); leaves < 40*time.Millisecond {
+				q.Timeout = randomTime(1000)
+				if leaves := randomTime(1000); leaves < 100*time.Millisecond {
 					var cancel context.CancelFunc
 					ctx, cancel = context.WithTimeout(ctx, leaves)
 					defer cancel()
@@ -62,7 +62,7 @@
 			var outcomes []outcome.Outcome
 			for range 3 {
 				outcomes = append(outcomes, h.GenerateLoad(500, 500*time.Millisecond, timeout, run)...)
-				outcomes = append(outcomes, h.GenerateLoad(2000, 500*time.Millisecond, timeout, run)...)
+				outcomes = append(outcomes, h.GenerateLoad(2000, time.Second, timeout, run)...)
 			}
 			h.runner.Stop(time.Now().Add(300 * time.Millisecond))
 			outcomes = append(outcomes, h.GenerateLoad(1000, 500*time.Millisecond, timeout, run)...)
--- a/internal/forward/runner/execution.go
+++ b/internal/forward/runner/execution.go
@@ -30,7 +30,7 @@
 	revision    int64 // of the configuration
 	plan        timing.Plan
 	isAggregate bool      // gathers parts for another instance
-	isCutShort  bool      // this instance stops before the request's time is over
+	isCutShort  bool      // the instance stops before the reply deadline of the request
 	wakeAt      time.Time // when the loop checks whether the reply is due, in addition to other events; zero if never
 
 	subrequests       []*subrequest
--- a/internal/forward/runner/runner.go
+++ b/internal/forward/runner/runner.go
@@ -75,8 +75,8 @@
 	inFlight group.Group
 	limiter  *limiter.Limiter
 	started  time.Time
-	stopping chan struct{} // closed by Stop
-	end      atomic.Pointer[time.Time]
+	stopping chan struct{}             // closed by Stop
+	end      atomic.Pointer[time.Time] // when all requests must have a reply; nil before Stop
 
 	region      string      // of this instance
 	aggregators Aggregators // nil if there are none
--- a/internal/published/follower/expiry_test.go
+++ b/internal/published/follower/expiry_test.go
@@ -68,3 +68,27 @@
 		<-done
 	})
 }
+
+// TestRemovalAfterShortOutage guards against requests to an upstream that has left: an outage of the store in which no registration can have
+// lapsed must not delay its removal.
+func TestRemovalAfterShortOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const reportInterval = 1200 * time.Millisecond
+		s := &heldSource{outage: 2*reportInterval - 1500*time.Millisecond, started: time.Now()}
+		f := New(s, 500*time.Millisecond, zap.NewNop())
+		f.SetReportInterval(reportInterval)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		time.Sleep(2 * reportInterval)
+		synctest.Wait()
+		require.True(t, s.hasRemoval)
+		require.Less(t, s.recoveredAt.Sub(s.started), 2*reportInterval)
+		require.NotContains(t, f.View().Upstreams, "u")
+		cancel()
+		<-done
+	})
+}
--- a/internal/published/follower/follower.go
+++ b/internal/published/follower/follower.go
@@ -20,12 +20,12 @@
 const (
 	// returnTime is the time after an outage of the store within which upstreams that are up have registered again.
 	returnTime = 2 * time.Second
-	// relayTime is the longest time that a change takes through the tree of instances.
-	relayTime = 200 * time.Millisecond
 	// changesTimeout is long enough for an ancestor in the tree of instances to time out and the store to answer afterwards.
 	changesTimeout = 4 * time.Second
 	// maxTransit is the longest one-way network latency between regions.
 	maxTransit = 50 * time.Millisecond
+	// relayTime is the longest time that a change takes from the store through the three levels of the tree of instances.
+	relayTime = 4 * maxTransit
 	// relayedDelay is the minimum time between the starts of two reads while another instance answers. It keeps a rapid series of
 	// changes from using the whole CPU.
 	relayedDelay = 20 * time.Millisecond
--- a/internal/published/relay/model_test.go
+++ b/internal/published/relay/model_test.go
@@ -14,70 +14,70 @@
 const (
 	// stableTime is the time after a disturbance from which an instance, or the store, counts as undisturbed.
 	stableTime = 4 * time.Second
-	// maxDisturbance is the longest freeze, cut or outage of a history.
+	// maxDisturbance is the longest freeze, cut or outage.
 	maxDisturbance = 6 * time.Second
 	// modelSeeds is the number of histories.
 	modelSeeds = 20
 )
 
-// fact is what the history has written last for an upstream.
-type fact struct {
+// lastWrite is what the history has written last for an upstream.
+type lastWrite struct {
 	registration.Registration
 	isRemoved bool
 	at        time.Time
 }
 
-// history plays a random history of reports, removals, drains, lapses, compactions and outages of the store, and of freezes, cuts and
-// restarts of nodes. It checks what each node knows while it goes on.
-type history struct {
+// randomHistory plays a random history of reports, removals, drains, lapses, compactions and outages of the store, and of freezes, cuts and
+// restarts of instances. It checks what each instance knows meanwhile.
+type randomHistory struct {
 	*testing.T
-	*cluster
-	rng   *rand.Rand
-	nodes []*node
-	facts map[string]fact
-	next  int // name of the next upstream
-	log   []string
-
-	disturbed map[string]time.Time // end of the latest disturbance, by node; in the future while it lasts
+	*freezableFleet
+	rng    *rand.Rand
+	ranked []*freezable
+	writes map[string]lastWrite
+	next   int // name of the next upstream
+	log    []string
+
+	disturbed map[string]time.Time // end of the latest disturbance, by instance; in the future while it lasts
 	unstable  time.Time            // end of the latest disturbance of the store
 	dropped   map[string]map[string]registration.Registration
 	seen      map[string]map[string]registration.Registration
 }
 
-func (h *history) note(format string, args ...any) {
+func (h *randomHistory) logf(format string, args ...any) {
 	h.log = append(h.log, fmt.Sprintf("%6.2fs ", time.Since(h.start()).Seconds())+fmt.Sprintf(format, args...))
 }
 
 // start returns the time at which the virtual clock starts.
-func (*history) start() time.Time { return time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC) }
+func (*randomHistory) start() time.Time { return time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC) }
 
-func (h *history) pickUp() (fact, bool) {
-	var up []fact
+func (h *randomHistory) pickUp() (lastWrite, bool) {
+	var up []lastWrite
 	for k := range h.next {
-		if f := h.facts[fmt.Sprint(k)]; !f.isRemoved {
+		if f := h.writes[fmt.Sprint(k)]; !f.isRemoved {
 			up = append(up, f)
 		}
 	}
 	if len(up) == 0 {
-		return fact{}, false
+		return lastWrite{}, false
 	}
 	return up[h.rng.IntN(len(up))], true
 }
 
-func (h *history) setReport(r registration.Registration) {
+func (h *randomHistory) setReport(r registration.Registration) {
 	h.report(r)
-	h.facts[r.Upstream] = fact{Registration: r, at: time.Now()}
-	h.note("upstream %s reports incarnation %d, sequence %d, draining %t", r.Upstream, r.Incarnation, r.Sequence, r.Draining)
+	h.writes[r.Upstream] = lastWrite{Registration: r, at: time.Now()}
+	h.logf("upstream %s reports incarnation %d, sequence %d, draining %t", r.Upstream, r.Incarnation, r.Sequence, r.Draining)
 }
 
-func (h *history) setRemoved(f fact) {
+func (h *randomHistory) setRemoved(f lastWrite) {
 	h.remove(f.Upstream)
-	h.facts[f.Upstream] = fact{Registration: f.Registration, isRemoved: true, at: time.Now()}
-	h.note("upstream %s is removed", f.Upstream)
+	h.writes[f.Upstream] = lastWrite{Registration: f.Registration, isRemoved: true, at: time.Now()}
+	h.logf("upstream %s is removed", f.Upstream)
 }
 
 // step makes one random change.
-func (h *history) step() {
+func (h *randomHistory) step() {
 	f, ok := h.pickUp()
 	isLeaving := f.Draining
 	switch k := h.rng.IntN(12); {
@@ -100,15 +100,15 @@
 		h.setReport(f.Registration)
 	case k < 10:
 		h.compact()
-		h.note("the store forgets its history")
+		h.logf("the store forgets its history")
 	default:
 		h.disturb()
 	}
 }
 
-// disturb begins a disturbance of a node or of the store that ends by itself.
-func (h *history) disturb() {
-	x := h.nodes[h.rng.IntN(len(h.nodes))]
+// disturb begins a disturbance of an instance or of the store that ends by itself.
+func (h *randomHistory) disturb() {
+	x := h.ranked[h.rng.IntN(len(h.ranked))]
 	now := time.Now()
 	if now.Before(h.disturbed[x.name]) || now.Before(h.unstable) {
 		return
@@ -117,17 +117,17 @@
 	switch h.rng.IntN(4) {
 	case 0:
 		h.disturbed[x.name] = now.Add(d)
-		h.note("%s freezes for %v", x.name, d)
+		h.logf("%s freezes for %v", x.name, d)
 		x.freeze()
 		time.AfterFunc(d, x.thaw)
 	case 1:
 		h.disturbed[x.name] = now.Add(d)
-		h.note("%s is cut off from the store for %v", x.name, d)
+		h.logf("%s is cut off from the store for %v", x.name, d)
 		h.setAvailable(x.name, false)
 		time.AfterFunc(d, func() { h.setAvailable(x.name, true) })
 	case 2:
 		h.disturbed[x.name] = now
-		h.note("%s restarts", x.name)
+		h.logf("%s restarts", x.name)
 		x.start()
 		h.dropped[x.name], h.seen[x.name] = nil, nil
 	default:
@@ -135,11 +135,11 @@
 	}
 }
 
-// outage makes the store unavailable to all nodes. In a long one, registrations lapse and return within returnTime of its end.
-func (h *history) outage(d time.Duration) {
+// outage makes the store unavailable to all instances. In a long one, registrations lapse and return within returnTime of its end.
+func (h *randomHistory) outage(d time.Duration) {
 	h.unstable = time.Now().Add(d + returnTime)
-	h.note("the store is away for %v", d)
-	for _, x := range h.nodes {
+	h.logf("the store is away for %v", d)
+	for _, x := range h.ranked {
 		h.setAvailable(x.name, false)
 	}
 	f, ok := h.pickUp()
@@ -147,9 +147,9 @@
 	time.Sleep(d)
 	if isLapse {
 		h.remove(f.Upstream)
-		h.note("upstream %s lapses", f.Upstream)
+		h.logf("upstream %s lapses", f.Upstream)
 	}
-	for _, x := range h.nodes {
+	for _, x := range h.ranked {
 		h.setAvailable(x.name, true)
 	}
 	if isLapse {
@@ -159,17 +159,17 @@
 	}
 }
 
-// run checks the nodes for d.
-func (h *history) run(d time.Duration) {
+// run checks the instances for d.
+func (h *randomHistory) run(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		for _, x := range h.nodes {
+		for _, x := range h.ranked {
 			h.check(x)
 		}
 	}
 }
 
-// check compares what the node knows with the facts.
-func (h *history) check(x *node) {
+// check compares what the instance knows with what was written last.
+func (h *randomHistory) check(x *freezable) {
 	now := time.Now()
 	view := x.upstreams()
 	for name, r := range h.seen[x.name] {
@@ -182,30 +182,30 @@
 	}
 	for name, r := range view {
 		if old, ok := h.dropped[x.name][name]; ok {
-			h.require(r.IsNewerThan(old), "%s has upstream %s again without a new report", x.name, name)
+			h.verify(r.IsNewerThan(old), "%s has upstream %s again without a new report", x.name, name)
 		}
 	}
 	h.seen[x.name] = view
 	if now.Sub(h.disturbed[x.name]) < stableTime || now.Sub(h.unstable) < stableTime {
 		return
 	}
-	for name, f := range h.facts {
+	for name, f := range h.writes {
 		if now.Sub(f.at) < drainTime {
 			continue
 		}
 		r, ok := view[name]
 		switch {
 		case f.isRemoved:
-			h.require(!ok, "%s has upstream %s %v after its removal", x.name, name, now.Sub(f.at))
+			h.verify(!ok, "%s has upstream %s %v after its removal", x.name, name, now.Sub(f.at))
 		default:
-			h.require(ok, "%s lacks upstream %s %v after its report", x.name, name, now.Sub(f.at))
-			h.require(r.Incarnation == f.Incarnation && r.Draining == f.Draining, "%s has an old report of upstream %s %v after the new one", x.name, name, now.Sub(f.at))
+			h.verify(ok, "%s lacks upstream %s %v after its report", x.name, name, now.Sub(f.at))
+			h.verify(r.Incarnation == f.Incarnation && r.Draining == f.Draining, "%s has an old report of upstream %s %v after the new one", x.name, name, now.Sub(f.at))
 		}
 	}
 }
 
-// require fails the test with the history so far unless ok is true.
-func (h *history) require(ok bool, format string, args ...any) {
+// verify fails the test with the history so far unless ok is true.
+func (h *randomHistory) verify(ok bool, format string, args ...any) {
 	if ok {
 		return
 	}
@@ -219,25 +219,25 @@
 // removed, drained and registered, that nothing that was removed comes back without a new report, and that all views agree in the end.
 func TestRandomHistories(t *testing.T) {
 	for seed := range uint64(modelSeeds) {
-		runCluster(t, 6, func(t *testing.T, c *cluster, nodes []*node) {
-			h := &history{
-				T: t, cluster: c, rng: rand.New(rand.NewPCG(seed, 1)), nodes: nodes, facts: make(map[string]fact), next: 10,
+		runFreezable(t, 6, func(t *testing.T, c *freezableFleet, ranked []*freezable) {
+			h := &randomHistory{
+				T: t, freezableFleet: c, rng: rand.New(rand.NewPCG(seed, 1)), ranked: ranked, writes: make(map[string]lastWrite), next: 10,
 				disturbed: make(map[string]time.Time), dropped: make(map[string]map[string]registration.Registration),
 				seen: make(map[string]map[string]registration.Registration),
 			}
-			h.note("seed %d", seed)
+			h.logf("seed %d", seed)
 			for k := range h.next {
-				h.facts[fmt.Sprint(k)] = fact{Registration: registration.Registration{Upstream: fmt.Sprint(k), Service: "s", Incarnation: 1, Sequence: 1}, at: time.Now()}
+				h.writes[fmt.Sprint(k)] = lastWrite{Registration: registration.Registration{Upstream: fmt.Sprint(k), Service: "s", Incarnation: 1, Sequence: 1}, at: time.Now()}
 			}
 			for range 60 {
 				h.step()
 				h.run(time.Duration(h.rng.Int64N(int64(1500 * time.Millisecond))))
 			}
 			h.run(maxDisturbance + stableTime + drainTime)
-			for _, x := range nodes {
-				for name, f := range h.facts {
+			for _, x := range ranked {
+				for name, f := range h.writes {
 					r, ok := x.upstreams()[name]
-					h.require(ok != f.isRemoved && (!ok || r.Incarnation == f.Incarnation && r.Draining == f.Draining), "%s ends with upstream %s: %t, %v", x.name, name, ok, r)
+					h.verify(ok != f.isRemoved && (!ok || r.Incarnation == f.Incarnation && r.Draining == f.Draining), "%s ends with upstream %s: %t, %v", x.name, name, ok, r)
 				}
 			}
 		})
--- a/internal/published/relay/outage_test.go
+++ b/internal/published/relay/outage_test.go
@@ -124,25 +124,25 @@
 	return c
 }
 
-// node is an instance that can be frozen and restarted. It is its own client of the store.
-type node struct {
-	*cluster
+// freezable is an instance that can be frozen and restarted. It is its own client of the store.
+type freezable struct {
+	*freezableFleet
 	name    string
 	process atomic.Pointer[process]
 
 	mu     sync.Mutex
-	thawed chan struct{} // closed unless the node is frozen
+	thawed chan struct{} // closed unless the instance is frozen
 }
 
-// process is one lifetime of a node.
+// process is one lifetime of an instance.
 type process struct {
 	follow  *follower.Follower
 	handler func(ctx context.Context, body []byte) (any, error)
 	stop    context.CancelFunc
 }
 
-// start starts the node anew. A process that ran before ends with all that it knows.
-func (n *node) start() {
+// start starts the instance anew. A process that ran before ends with all that it knows.
+func (n *freezable) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := follower.New(New(n, n, func(string) {}), interval, zap.NewNop())
 	f.SetReportInterval(reportInterval)
@@ -153,26 +153,26 @@
 	n.running.Go(func() { f.Run(ctx) })
 }
 
-// upstreams returns the upstreams in the view of the node.
-func (n *node) upstreams() map[string]registration.Registration {
+// upstreams returns the upstreams in the view of the instance.
+func (n *freezable) upstreams() map[string]registration.Registration {
 	return n.process.Load().follow.View().Upstreams
 }
 
-// cluster is a fleet of nodes with a common store.
-type cluster struct {
+// freezableFleet is a set of instances with a common store.
+type freezableFleet struct {
 	*registry
-	nodes   map[string]*node
-	fleet   *fleet // carries the calls between the nodes
-	running sync.WaitGroup
+	instances map[string]*freezable
+	fleet     *fleet // carries the calls between the instances
+	running   sync.WaitGroup
 }
 
-func (n *node) freeze() {
+func (n *freezable) freeze() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.thawed = make(chan struct{})
 }
 
-func (n *node) thaw() {
+func (n *freezable) thaw() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	select {
@@ -182,8 +182,8 @@
 	}
 }
 
-// await blocks while the node is frozen, or until ctx ends, and reports whether the node is not frozen.
-func (n *node) await(ctx context.Context) bool {
+// await blocks while the instance is frozen, or until ctx ends, and reports whether the instance is not frozen.
+func (n *freezable) await(ctx context.Context) bool {
 	n.mu.Lock()
 	thawed := n.thawed
 	n.mu.Unlock()
@@ -195,9 +195,9 @@
 	}
 }
 
-func (n *node) Read(ctx context.Context) (change.Batch, error) { return n.ReadSince(ctx, 0) }
+func (n *freezable) Read(ctx context.Context) (change.Batch, error) { return n.ReadSince(ctx, 0) }
 
-func (n *node) ReadSince(_ context.Context, after int64) (change.Batch, error) {
+func (n *freezable) ReadSince(_ context.Context, after int64) (change.Batch, error) {
 	const latency = 4 * time.Millisecond
 	n.await(context.Background())
 	time.Sleep(latency)
@@ -206,14 +206,14 @@
 	return b, err
 }
 
-func (*node) Reset() {}
+func (*freezable) Reset() {}
 
-func (*node) Decode(i change.Item) (change.Change, bool) { return decode(i), true }
+func (*freezable) Decode(i change.Item) (change.Change, bool) { return decode(i), true }
 
-func (n *node) Self() membership.Member { return membership.Member{Name: n.name, Address: n.name} }
+func (n *freezable) Self() membership.Member { return membership.Member{Name: n.name, Address: n.name} }
 
-func (n *node) Members() (all []membership.Member) {
-	for name := range n.nodes {
+func (n *freezable) Members() (all []membership.Member) {
+	for name := range n.instances {
 		if name != n.name {
 			all = append(all, membership.Member{Name: name, Address: name})
 		}
@@ -221,10 +221,10 @@
 	return all
 }
 
-// Call fails when ctx ends if the called node is frozen. A frozen caller returns when it is thawed.
-func (n *node) Call(ctx context.Context, address, method string, request, reply any) error {
+// Call fails when ctx ends if the called instance is frozen. A frozen caller returns when it is thawed.
+func (n *freezable) Call(ctx context.Context, address, method string, request, reply any) error {
 	defer n.await(context.Background())
-	called := n.nodes[address]
+	called := n.instances[address]
 	if !called.await(ctx) {
 		return ctx.Err()
 	}
@@ -235,17 +235,17 @@
 	return err
 }
 
-// has reports whether the view of the node contains the upstream.
-func (n *node) has(upstream string) bool {
+// has reports whether the view of the instance contains the upstream.
+func (n *freezable) has(upstream string) bool {
 	_, ok := n.upstreams()[upstream]
 	return ok
 }
 
-// runCluster starts n nodes and upstreams "0" to "9", lets them run for 5 s and calls test with the nodes in the order of the tree.
-func runCluster(t *testing.T, n int, test func(t *testing.T, c *cluster, nodes []*node)) {
+// runFreezable starts n instances and upstreams "0" to "9", lets them run for 5 s and calls test with the instances in the order of the tree.
+func runFreezable(t *testing.T, n int, test func(t *testing.T, c *freezableFleet, ranked []*freezable)) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &cluster{
-			registry: &registry{items: make(map[string]written), unavailable: make(map[string]bool)}, nodes: make(map[string]*node),
+		c := &freezableFleet{
+			registry: &registry{items: make(map[string]written), unavailable: make(map[string]bool)}, instances: make(map[string]*freezable),
 			fleet: &fleet{instances: make(map[string]*instance), down: make(map[string]bool)},
 		}
 		for u := range 10 {
@@ -254,31 +254,31 @@
 		open := make(chan struct{})
 		close(open)
 		for k := range n {
-			x := &node{cluster: c, name: fmt.Sprintf("i-%d", k), thawed: open}
-			c.nodes[x.name] = x
+			x := &freezable{freezableFleet: c, name: fmt.Sprintf("i-%d", k), thawed: open}
+			c.instances[x.name] = x
 			c.fleet.instances[x.name] = &instance{fleet: c.fleet, name: x.name, handler: func(ctx context.Context, body []byte) (any, error) {
 				return x.process.Load().handler(ctx, body)
 			}}
 		}
 		defer c.running.Wait()
-		for _, x := range c.nodes {
+		for _, x := range c.instances {
 			x.start()
 			defer func() { x.process.Load().stop() }()
 			defer x.thaw()
 		}
 		time.Sleep(5 * time.Second)
-		var nodes []*node
+		var ranked []*freezable
 		for _, name := range c.fleet.treeOrder() {
-			nodes = append(nodes, c.nodes[name])
+			ranked = append(ranked, c.instances[name])
 		}
-		test(t, c, nodes)
+		test(t, c, ranked)
 	})
 }
 
-// follow checks the views for d. From drainTime after its time in removed, no node may have an upstream.
-func (c *cluster) follow(t *testing.T, d time.Duration, nodes []*node, removed func() map[string]time.Time) {
+// requireRemoved checks the views for d. From drainTime after its time in removed, no instance may have an upstream.
+func (c *freezableFleet) requireRemoved(t *testing.T, d time.Duration, ranked []*freezable, removed func() map[string]time.Time) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		for _, x := range nodes {
+		for _, x := range ranked {
 			for name, at := range removed() {
 				if since := time.Since(at); since >= drainTime {
 					require.False(t, x.has(name), "%s has upstream %s %v after its removal", x.name, name, since)
@@ -288,13 +288,13 @@
 	}
 }
 
-// TestRemovalWhileReaderIsFrozen guards against requests to upstreams that have left, from calm instances: the one that reads the store
+// TestRemovalWhileReaderIsFrozen guards against requests to upstreams that have left, from undisturbed instances: the one that reads the store
 // for the others was frozen, and they took over the grace period in which it keeps what was removed.
 func TestRemovalWhileReaderIsFrozen(t *testing.T) {
 	for phase := range 10 {
-		runCluster(t, 4, func(t *testing.T, c *cluster, nodes []*node) {
+		runFreezable(t, 4, func(t *testing.T, c *freezableFleet, ranked []*freezable) {
 			time.Sleep(time.Duration(phase) * interval / 10)
-			reader := nodes[0]
+			reader := ranked[0]
 			reader.freeze()
 			const frozen = 5 * time.Second
 			time.AfterFunc(frozen, reader.thaw)
@@ -308,24 +308,24 @@
 					removed[fmt.Sprint(u)] = time.Now()
 				})
 			}
-			c.follow(t, frozen+2*drainTime, nodes[1:], func() map[string]time.Time {
+			c.requireRemoved(t, frozen+2*drainTime, ranked[1:], func() map[string]time.Time {
 				mu.Lock()
 				defer mu.Unlock()
 				return maps.Clone(removed)
 			})
-			for _, x := range nodes {
+			for _, x := range ranked {
 				require.Empty(t, x.upstreams(), x.name)
 			}
 		})
 	}
 }
 
-// TestLapseDuringOutage lets an outage of the store, seen by some or all instances, remove upstreams that register again within
-// returnTime. No instance may drop them meanwhile, whether it has noticed the outage itself or has heard of it from another instance.
+// TestLapseDuringOutage lets registrations lapse in an outage of the store that is long enough for it. The upstreams register again within
+// returnTime, and no instance may drop them meanwhile.
 func TestLapseDuringOutage(t *testing.T) {
 	for _, outage := range []time.Duration{lapseTime, 6 * time.Second} {
 		for phase := range 10 {
-			runCluster(t, 4, func(t *testing.T, c *cluster, nodes []*node) {
+			runFreezable(t, 4, func(t *testing.T, c *freezableFleet, ranked []*freezable) {
 				time.Sleep(time.Duration(phase) * interval / 10)
 				c.setUnavailable("i-0", "i-1", "i-2", "i-3")
 				time.Sleep(outage)
@@ -338,7 +338,7 @@
 				}
 				for range 500 {
 					time.Sleep(10 * time.Millisecond)
-					for _, x := range nodes {
+					for _, x := range ranked {
 						require.Len(t, x.upstreams(), 10, "%s after an outage of %v", x.name, outage)
 					}
 				}
@@ -347,17 +347,17 @@
 	}
 }
 
-// TestRemovalWhileOthersAreDisturbed freezes single nodes, and cuts single nodes off from the store, at random. Nodes that neither happens
-// to have removals in time.
+// TestRemovalWhileOthersAreDisturbed freezes single instances, and cuts single ones off from the store, at random. The others have removals
+// in time.
 func TestRemovalWhileOthersAreDisturbed(t *testing.T) {
 	for seed := range uint64(30) {
 		rng := rand.New(rand.NewPCG(seed, 0))
-		runCluster(t, 6, func(t *testing.T, c *cluster, nodes []*node) {
-			const calm = 3 // the last nodes in rank are undisturbed
+		runFreezable(t, 6, func(t *testing.T, c *freezableFleet, ranked []*freezable) {
+			const undisturbed = 3 // the last instances in rank
 			removed := make(map[string]time.Time)
 			next := int64(10)
 			for range 8 {
-				x := nodes[rng.IntN(len(nodes)-calm)]
+				x := ranked[rng.IntN(len(ranked)-undisturbed)]
 				isFreeze := rng.IntN(2) == 0
 				if isFreeze {
 					x.freeze()
@@ -368,7 +368,7 @@
 				for range 4 {
 					step := time.Duration(rng.Int64N(int64(left) + 1))
 					left -= step
-					c.follow(t, step, nodes[len(nodes)-calm:], func() map[string]time.Time { return removed })
+					c.requireRemoved(t, step, ranked[len(ranked)-undisturbed:], func() map[string]time.Time { return removed })
 					name := fmt.Sprint(next - 10)
 					c.remove(name)
 					removed[name] = time.Now()
@@ -380,10 +380,10 @@
 				} else {
 					c.setUnavailable()
 				}
-				c.follow(t, time.Duration(rng.IntN(5000))*time.Millisecond, nodes[len(nodes)-calm:], func() map[string]time.Time { return removed })
+				c.requireRemoved(t, time.Duration(rng.IntN(5000))*time.Millisecond, ranked[len(ranked)-undisturbed:], func() map[string]time.Time { return removed })
 			}
 			time.Sleep(2 * drainTime)
-			for _, x := range nodes {
+			for _, x := range ranked {
 				require.Len(t, x.upstreams(), 10, x.name)
 			}
 		})
--- a/internal/published/state/state.go
+++ b/internal/published/state/state.go
@@ -43,11 +43,13 @@
 	mu         sync.Mutex
 	view       *View
 	entries    map[string]entry // newest item, by key
-	boundaries []boundary       // the revisions at which this instance knew the content of the store, oldest first
+	boundaries []boundary       // in the order of their revisions
 	changed    chan struct{}    // closed by the next publish
 }
 
-// boundary is a revision that the last applied batch ended at.
+// boundary is the revision of an applied batch. The entries hold all changes since it, but not those since a revision between two
+// boundaries: another instance that has read the store at that revision may know items that were written and removed, or removed and
+// written again, before the next batch of this one.
 type boundary struct {
 	revision     int64
 	supersededAt time.Time // zero for the newest
@@ -168,8 +170,8 @@
 	return true, true
 }
 
-// forgetRemoval lets the report of a removed upstream count again. That a newer state of the store lists it shows that the upstream has
-// registered again, although the sequence of the listed report may be lower: reports that change nothing are not passed on.
+// forgetRemoval makes register accept the report of a removed upstream that a listing contains. The upstream has registered again, although
+// the sequence of the listed report may be lower than that of the removed one: reports without a material change are not relayed.
 func (s *State) forgetRemoval(r registration.Registration) {
 	if old, ok := s.upstreams[r.Upstream]; ok && old.removed && r.Incarnation >= old.Incarnation {
 		delete(s.upstreams, r.Upstream)
@@ -181,7 +183,7 @@
 	old, ok := s.upstreams[r.Upstream]
 	if ok && !r.IsNewerThan(old.Registration) {
 		if !old.removed && r == old.Registration {
-			isNew = old.pendingRemoval // the removal was passed on
+			isNew = old.pendingRemoval // the removal was relayed
 			old.pendingRemoval = false
 			return true, isNew
 		}
--- a/internal/published/state/state_test.go
+++ b/internal/published/state/state_test.go
@@ -239,6 +239,16 @@
 	require.Empty(t, rejected)
 	require.Contains(t, v.Upstreams, "known")
 
+	// The source reads from a third instance, which has not relayed reports without a material change.
+	s, source = New(testGracePeriod), New(testGracePeriod)
+	s.Apply(batch(4, known, report("known", 1, 3, false)), now)
+	s.Apply(batch(5, removal("known")), now)
+	source.Apply(batch(4, known), now)
+	source.Apply(batch(6), now)
+	v, rejected = s.Apply(relayed(update(source, 5), known), now)
+	require.Empty(t, rejected)
+	require.Contains(t, v.Upstreams, "known")
+
 	s, source = New(testGracePeriod), New(testGracePeriod)
 	s.Apply(batch(5, domain("a", false)), now)
 	source.Apply(batch(4), now)
@@ -282,3 +292,15 @@
 	s.Apply(change.Batch{Full: true, Revision: 3, Changes: []change.Change{u}}, now)
 	require.Equal(t, []change.Item{u.Item}, update(s, 2).Items)
 }
+
+// TestFullUpdateHasNewestReports checks that a full update holds the newest report of an upstream, also if it has no material change: an
+// instance that has just started would otherwise take a cold time from its beginning.
+func TestFullUpdateHasNewestReports(t *testing.T) {
+	now := time.Now()
+	s := New(testGracePeriod)
+	newest := report("u", 1, 2, false)
+	s.Apply(batch(1, report("u", 1, 1, false)), now)
+	s.Apply(batch(2, newest), now)
+	require.Empty(t, update(s, 1).Items)
+	require.Equal(t, []change.Item{newest.Item}, update(s, 0).Items)
+}
--- a/internal/published/state/update.go
+++ b/internal/published/state/update.go
@@ -47,14 +47,13 @@
 	return u, s.changed
 }
 
-// isBoundary reports whether the changes since a revision can be told. Between two boundaries, the other instance may have seen items that
-// were written and removed again, or removed and written again, which this one has never seen.
+// isBoundary reports whether the entries hold all changes since a revision.
 func (s *State) isBoundary(revision int64) bool {
 	_, ok := slices.BinarySearchFunc(s.boundaries, revision, func(b boundary, r int64) int { return cmp.Compare(b.revision, r) })
 	return ok
 }
 
-// advance records that the content of the store at a revision is known.
+// advance sets the revision to that of an applied batch.
 func (s *State) advance(revision int64, now time.Time) {
 	if revision <= s.revision {
 		return
@@ -97,7 +96,7 @@
 	}
 }
 
-// refresh replaces the item of a report that does not change what is known. Other instances get it with the next full update.
+// refresh replaces the item of a report without a material change. Other instances get it with the next full update.
 func (s *State) refresh(i change.Item) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
