--- a/internal/forward/aggregator/message.go
+++ b/internal/forward/aggregator/message.go
@@ -21,7 +21,9 @@
 	Path   string      `msgpack:"p"`
 	Host   string      `msgpack:"h"`
 	Header http.Header `msgpack:"e"`
-	Body   []byte      `msgpack:"b,omitempty"`
+	// Workspace is the name of the caller's workspace. The key that identifies it is not in Header.
+	Workspace string `msgpack:"w,omitempty"`
+	Body      []byte `msgpack:"b,omitempty"`
 	// Revision is the configuration revision whose shards are meant. An instance with another revision refuses.
 	Revision int64 `msgpack:"r"`
 	// Shards is the set of shards by their index in the route.
--- a/internal/forward/runner/aggregate.go
+++ b/internal/forward/runner/aggregate.go
@@ -128,7 +128,7 @@
 		return nil, &RefusedError{Reason: "no parts of this request may be gathered here"}
 	}
 	req := request.Request{
-		ID: q.ID, Method: q.Method, Target: q.Target, Path: q.Path, Host: q.Host, Header: q.Header, Body: q.Body,
+		ID: q.ID, Method: q.Method, Target: q.Target, Path: q.Path, Host: q.Host, Header: q.Header, Workspace: q.Workspace, Body: q.Body,
 		Arrived: time.Now(), Timeout: time.Duration(q.TimeLeftUS) * time.Microsecond,
 	}
 	e := newExecution(r, req, rt, q.Revision)
--- a/internal/forward/runner/delegation.go
+++ b/internal/forward/runner/delegation.go
@@ -131,7 +131,7 @@
 	e.delegations = append(e.delegations, d)
 	q := aggregator.Request{
 		ID: e.request.ID, Method: e.request.Method, Target: e.request.Target, Path: e.request.Path, Host: e.request.Host,
-		Header: e.request.Header, Body: e.request.Body, Revision: e.revision, TimeLeftUS: e.plan.Deadline.Sub(now).Microseconds(),
+		Header: e.request.Header, Workspace: e.request.Workspace, Body: e.request.Body, Revision: e.revision, TimeLeftUS: e.plan.Deadline.Sub(now).Microseconds(),
 	}
 	for _, s := range members {
 		s.delegation, s.delegatedRegion, s.isSentByAggregator = d, region, true // until the outcome of the call shows otherwise
--- a/internal/forward/runner/handler.go
+++ b/internal/forward/runner/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -29,6 +30,9 @@
 	rt, ok := h.view.Table.Lookup(h.request.Host, h.request.Path)
 	switch {
 	case ok:
+		if err := h.request.Load(); err != nil {
+			return rejected(err)
+		}
 		h.execution = newExecution(h.Runner, h.request, rt, h.view.Table.Revision())
 		return h.execution.run(ctx)
 	case h.viewAge > staleViewAge:
@@ -37,6 +41,15 @@
 	return reply.Failed(http.StatusNotFound, "no route")
 }
 
+// rejected returns the reply to a request whose body cannot be read.
+func rejected(err error) reply.Reply {
+	var invalid *request.BodyError
+	if errors.As(err, &invalid) {
+		return reply.Failed(invalid.Status, invalid.Reason)
+	}
+	return reply.Failed(http.StatusBadRequest, err.Error())
+}
+
 // report logs the outcome and records it in the metrics.
 func (h *handler) report(rep reply.Reply) {
 	took := time.Since(h.request.Arrived)
