feat(workspace): keys of workspaces

A configuration with tenants made no difference. Requests now need the key of a workspace unless their route is public; keys are held, relayed and compared as hashes. 401 for unknown keys, 503 without a configuration or with an old view; a request whose key is removed before anything was sent is refused.

--- a/internal/forward/request/request.go
+++ b/internal/forward/request/request.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"crocuswing/internal/workspace/credential"
 )
 
 // Request is one request of a caller. It is immutable, but for Load.
@@ -16,6 +18,14 @@
 	Target, Path string
 	Host         string
 	Header       http.Header
+	// Credential is what the caller presented to identify its workspace.
+	Credential credential.Credential
+	// Identify returns the header that is sent on for a caller of the named workspace, or of none if the name is empty: without the
+	// caller's key, and with the name. It is nil if Header is sent on as it is.
+	Identify func(workspace string) http.Header
+	// Permit reports whether the request may be sent to an upstream or to another instance. It is called before each sending, and nil
+	// permits all.
+	Permit func() bool
 	// Workspace is the name of the workspace to which the caller belongs; it is empty if the configuration has none.
 	Workspace string
 	Body      []byte
@@ -46,3 +56,15 @@
 	r.ReadBody = nil
 	return err
 }
+
+// WithWorkspace returns the request as it is sent on for a caller of the named workspace, or of none if the name is empty.
+func (r Request) WithWorkspace(name string) Request {
+	r.Workspace = name
+	if r.Identify != nil {
+		r.Header = r.Identify(name)
+	}
+	return r
+}
+
+// MaySend reports whether the request may be sent.
+func (r Request) MaySend() bool { return r.Permit == nil || r.Permit() }
--- /dev/null
+++ b/internal/forward/runner/admission.go
@@ -0,0 +1,120 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"crocuswing/internal/forward/reply"
+	"crocuswing/internal/published/state"
+	"crocuswing/internal/workspace/credential"
+)
+
+// admission decides which requests of workspaces run.
+type admission struct {
+	// maxKeyAge is the age of the view above which its keys are not relied on; 0 if they always are.
+	maxKeyAge atomic.Int64
+}
+
+// SetMaxKeyAge sets the age of the view above which requests with a key are refused, because the key may have been removed; 0 means that
+// they never are.
+func (a *admission) SetMaxKeyAge(d time.Duration) { a.maxKeyAge.Store(int64(d)) }
+
+// identify finds the workspace of the caller, if the request needs one. It returns a reply if the request must not run.
+func (h *handler) identify() *reply.Reply {
+	workspaces, ok := h.view.Table.Workspaces()
+	if !ok {
+		return nil
+	}
+	if h.route.IsPublic {
+		h.request = h.request.WithWorkspace("")
+		return nil
+	}
+	w, ok := workspaces.Find(h.request.Credential)
+	if !ok {
+		return h.unidentified()
+	}
+	if maxAge := time.Duration(h.maxKeyAge.Load()); maxAge > 0 && h.viewAge > maxAge {
+		rep := refused("the key may have been removed since the view was read")
+		return &rep
+	}
+	h.request = h.request.WithWorkspace(w.Name)
+	h.workspace, h.route = w, w.Restrict(h.route)
+	return nil
+}
+
+// unidentified returns the reply to a request whose key no known workspace holds. A key that an old view lacks may be a new one.
+func (h *handler) unidentified() *reply.Reply {
+	rep := reply.Failed(http.StatusUnauthorized, "key is "+h.request.Credential.String())
+	if _, ok := h.request.Credential.Hash(); ok {
+		rep.Reason = "key is unknown"
+		if h.viewAge > staleViewAge {
+			rep = refused("key is unknown in a view that may be old")
+		}
+	}
+	return &rep
+}
+
+// permit lets a request begin as long as its key is known. Once it has begun to be sent, it goes on when the key is removed.
+type permit struct {
+	viewer     Viewer
+	credential credential.Credential
+	workspace  string
+	checked    atomic.Pointer[state.View] // the newest view that is known to have the key
+	state      atomic.Int32
+	cancel     context.CancelFunc
+}
+
+const (
+	permitOpen int32 = iota
+	permitBegun
+	permitRevoked
+)
+
+// newPermit returns the permit of a request whose key the view has. It calls cancel if it refuses the sending.
+func newPermit(v Viewer, view *state.View, c credential.Credential, workspace string, cancel context.CancelFunc) *permit {
+	p := &permit{viewer: v, credential: c, workspace: workspace, cancel: cancel}
+	p.checked.Store(view)
+	return p
+}
+
+// allow reports whether the request may be sent. It is safe for concurrent use.
+func (p *permit) allow() bool {
+	if p.state.Load() == permitBegun {
+		return true
+	}
+	if p.isKeyValid() && p.state.CompareAndSwap(permitOpen, permitBegun) {
+		return true
+	}
+	if p.state.CompareAndSwap(permitOpen, permitRevoked) {
+		p.cancel()
+	}
+	return p.state.Load() == permitBegun
+}
+
+// isKeyValid reports whether the current view has the key, for the same workspace.
+func (p *permit) isKeyValid() bool {
+	view := p.viewer.View()
+	if checked := p.checked.Load(); view == checked || view.Table == checked.Table {
+		return true
+	}
+	workspaces, ok := view.Table.Workspaces()
+	if !ok {
+		return true // keys are no longer needed
+	}
+	w, ok := workspaces.Find(p.credential)
+	if !ok || w.Name != p.workspace {
+		return false
+	}
+	p.checked.Store(view)
+	return true
+}
+
+// isRevoked reports whether the key was removed before anything was sent.
+func (p *permit) isRevoked() bool {
+	if p.state.Load() == permitOpen && !p.isKeyValid() {
+		p.state.CompareAndSwap(permitOpen, permitRevoked)
+	}
+	return p.state.Load() == permitRevoked
+}
--- a/internal/forward/runner/aggregate.go
+++ b/internal/forward/runner/aggregate.go
@@ -124,6 +124,9 @@
 		return nil, &RefusedError{Reason: fmt.Sprintf("revision %d is not in force here", q.Revision)}
 	}
 	rt, ok := table.Lookup(q.Host, q.Path)
+	if ok {
+		rt, ok = table.Restrict(rt, q.Workspace)
+	}
 	if !ok || !rt.IsGather() || !rt.Allows(r.region) || rt.MaxAttempts < 2 || q.Shards.Len() == 0 || q.TimeLeftUS <= 0 {
 		return nil, &RefusedError{Reason: "no parts of this request may be gathered here"}
 	}
--- a/internal/forward/runner/delegation.go
+++ b/internal/forward/runner/delegation.go
@@ -63,7 +63,7 @@
 
 // delegateShards asks aggregators for the parts of the shards without a usable upstream in this region.
 func (e *execution) delegateShards(now time.Time) {
-	if !e.mayDelegate(now) {
+	if !e.mayDelegate(now) || !e.request.MaySend() {
 		return
 	}
 	shardsByRegion := make(map[string][]*subrequest)
--- a/internal/forward/runner/handler.go
+++ b/internal/forward/runner/handler.go
@@ -10,6 +10,8 @@
 	"crocuswing/internal/forward/reply"
 	"crocuswing/internal/forward/request"
 	"crocuswing/internal/published/state"
+	"crocuswing/internal/routing/route"
+	"crocuswing/internal/workspace/workspace"
 
 	"go.uber.org/zap"
 )
@@ -20,27 +22,58 @@
 	request   request.Request
 	view      *state.View
 	viewAge   time.Duration
-	execution *execution // nil if the request has no route
+	route     *route.Route // as it applies to the workspace; nil if the request has none
+	workspace *workspace.Workspace
+	permit    *permit    // nil if the request needs no key
+	execution *execution // nil if the request was not run
 }
 
 func (h *handler) run(ctx context.Context) reply.Reply {
 	if h.view.Table == nil {
 		return reply.Refused("no configuration is known yet", h.untilConfigured())
 	}
-	rt, ok := h.view.Table.Lookup(h.request.Host, h.request.Path)
+	var ok bool
+	h.route, ok = h.view.Table.Lookup(h.request.Host, h.request.Path)
 	switch {
 	case ok:
-		if err := h.request.Load(); err != nil {
-			return rejected(err)
-		}
-		h.execution = newExecution(h.Runner, h.request, rt, h.view.Table.Revision())
-		return h.execution.run(ctx)
+		return h.admit(ctx)
 	case h.viewAge > staleViewAge:
 		return refused("no route in a view that may be old")
 	}
 	return reply.Failed(http.StatusNotFound, "no route")
 }
 
+// admit runs a request that has a route, if its caller may send it.
+func (h *handler) admit(ctx context.Context) reply.Reply {
+	if rep := h.identify(); rep != nil {
+		return *rep
+	}
+	if h.workspace == nil {
+		return h.execute(ctx)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	h.permit = newPermit(h.viewer, h.view, h.request.Credential, h.workspace.Name, cancel)
+	h.request.Permit = h.permit.allow
+	rep := h.execute(ctx)
+	if h.permit.isRevoked() {
+		return reply.Failed(http.StatusUnauthorized, "the key was removed before the request was sent")
+	}
+	return rep
+}
+
+// execute reads the body and runs the request.
+func (h *handler) execute(ctx context.Context) reply.Reply {
+	if err := h.request.Load(); err != nil {
+		return rejected(err)
+	}
+	if h.permit != nil && h.permit.isRevoked() {
+		return reply.Reply{} // replaced by admit
+	}
+	h.execution = newExecution(h.Runner, h.request, h.route, h.view.Table.Revision())
+	return h.execution.run(ctx)
+}
+
 // rejected returns the reply to a request whose body cannot be read.
 func rejected(err error) reply.Reply {
 	var invalid *request.BodyError
@@ -60,6 +93,9 @@
 	if rep.Reason != "" {
 		fields = append(fields, zap.String("reason", rep.Reason))
 	}
+	if h.workspace != nil {
+		fields = append(fields, zap.String("workspace", h.workspace.Name))
+	}
 	name := "none"
 	if x := h.execution; x != nil {
 		name = x.route.Name
--- a/internal/forward/runner/runner.go
+++ b/internal/forward/runner/runner.go
@@ -78,6 +78,7 @@
 	stopping chan struct{}             // closed by Stop
 	end      atomic.Pointer[time.Time] // when all requests must have a reply; nil before Stop
 
+	admission               // of workspaces
 	region      string      // of this instance
 	aggregators Aggregators // nil if there are none
 	aggregates  sync.Map    // running *aggregate by identifier of the request
--- a/internal/forward/runner/sender.go
+++ b/internal/forward/runner/sender.go
@@ -40,7 +40,7 @@
 		Header:        func() http.Header { return s.protocol.Header(s.request, s.replica.Name(), time.Until(s.deadline)) },
 		Body:          s.request.Body,
 		NonIdempotent: s.route.NonIdempotent,
-		BeforeSend:    func() bool { return s.cluster.MaySend(s.replica) && s.gate.allowSend() },
+		BeforeSend:    func() bool { return s.cluster.MaySend(s.replica) && s.request.MaySend() && s.gate.allowSend() },
 		CheckResponse: func(status int, h http.Header) (err error) {
 			signals, err = s.protocol.Signals(s.request, status, h)
 			return err
--- a/internal/routing/route/route.go
+++ b/internal/routing/route/route.go
@@ -32,6 +32,10 @@
 	MinShare float64
 	// Regions are the regions in which requests may be handled; if empty, all regions are allowed.
 	Regions []string
+	// IsPublic reports whether requests need no key although the configuration has workspaces.
+	IsPublic bool
+
+	isExcluded bool // no region is allowed
 }
 
 // Destination is a service with its weight.
@@ -45,7 +49,26 @@
 
 // Allows reports whether requests may be handled in the region.
 func (r Route) Allows(region string) bool {
-	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
+	return !r.isExcluded && (len(r.Regions) == 0 || slices.Contains(r.Regions, region))
+}
+
+// WithRank returns the route with another rank.
+func (r Route) WithRank(rank int) Route {
+	r.Rank = rank
+	return r
+}
+
+// WithRegions returns the route limited to those of its regions that are among the given ones. If there are none in common, it allows
+// no region.
+func (r Route) WithRegions(regions []string) Route {
+	var common []string
+	for _, region := range regions {
+		if r.Allows(region) {
+			common = append(common, region)
+		}
+	}
+	r.Regions, r.isExcluded = common, len(common) == 0
+	return r
 }
 
 // MinParts returns the minimum number of parts that a successful merged answer needs.
--- a/internal/routing/table/table.go
+++ b/internal/routing/table/table.go
@@ -9,6 +9,7 @@
 	"crocuswing/internal/routing/limits"
 	"crocuswing/internal/routing/route"
 	"crocuswing/internal/routing/service"
+	"crocuswing/internal/workspace/directory"
 )
 
 // Table maps hosts and path prefixes to routes. It is immutable.
@@ -18,10 +19,17 @@
 	hosts              map[string][]*route.Route // longest prefix first
 	services           map[string]service.Service
 	idempotentServices []string
+	workspaces         *directory.Directory // nil if the configuration has none
 }
 
+// Option configures a Table.
+type Option func(*Table)
+
+// WithWorkspaces returns an option that makes requests need the key of one of the workspaces, unless their route is public.
+func WithWorkspaces(d *directory.Directory) Option { return func(t *Table) { t.workspaces = d } }
+
 // New returns the table of a configuration revision.
-func New(revision int64, routes []route.Route, services []service.Service, l limits.Limits) *Table {
+func New(revision int64, routes []route.Route, services []service.Service, l limits.Limits, options ...Option) *Table {
 	t := &Table{
 		revision: revision,
 		limits:   l,
@@ -47,6 +55,9 @@
 	}
 	maps.DeleteFunc(isIdempotent, func(_ string, idempotent bool) bool { return !idempotent })
 	t.idempotentServices = slices.Sorted(maps.Keys(isIdempotent))
+	for _, o := range options {
+		o(t)
+	}
 	return t
 }
 
@@ -56,6 +67,25 @@
 // Limits returns the limits of callers' requests.
 func (t *Table) Limits() limits.Limits { return t.limits }
 
+// Workspaces returns the workspaces, and false if the configuration has none.
+func (t *Table) Workspaces() (*directory.Directory, bool) { return t.workspaces, t.workspaces != nil }
+
+// Restrict returns the route as it applies to the requests of the named workspace, or unchanged if the name is empty. It returns false
+// if there is no such workspace.
+func (t *Table) Restrict(r *route.Route, workspace string) (*route.Route, bool) {
+	if workspace == "" {
+		return r, true
+	}
+	if t.workspaces == nil {
+		return nil, false
+	}
+	w, ok := t.workspaces.Workspace(workspace)
+	if !ok {
+		return nil, false
+	}
+	return w.Restrict(r), true
+}
+
 // Service returns the service with the given name.
 func (t *Table) Service(name string) (service.Service, bool) {
 	s, ok := t.services[name]
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -109,6 +109,7 @@
 	g.aggregators = aggregator.New(g.membership, s.Regions)
 	g.runner = runner.New(p.Protocol, g.catalog, g.follower, latencyHistory, g.metrics, g.log, runner.WithLimiter(g.subrequests),
 		runner.WithAggregators(s.Region, g.aggregators))
+	g.applyWorkspaceBounds(s.Bounds)
 	g.handler = g.limitRequests(p.NewHandler(g.runner))
 	g.metrics.Gauge("crocuswing_instances", func() float64 { return float64(g.membership.Size()) })
 	g.metrics.Gauge("crocuswing_legs_in_flight", func() float64 { return float64(g.subrequests.Used()) })
@@ -124,6 +125,7 @@
 	}
 	g.catalog.SetSettings(s)
 	g.applyLimits(s)
+	g.applyWorkspaceBounds(s.Bounds)
 	g.follower.SetReportInterval(s.ReportInterval)
 	g.membership.SetSeeds(s.Seeds)
 	g.aggregators.SetRegions(s.Regions)
--- a/internal/settings/deployment/deployment.go
+++ b/internal/settings/deployment/deployment.go
@@ -59,6 +59,14 @@
 	// ColdFactor times the rate of its service plus ColdSlack.
 	ColdFactor float64
 	ColdSlack  int
+	// QuotaWindow, QuotaOverage and QuotaSlack limit the requests of a workspace that run within any QuotaWindow, summed over all
+	// instances, to its quota for this time, times 1+QuotaOverage, plus QuotaSlack.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
+	// MaxKeyAge is the age of the published state above which requests with a key are refused, because the key may have been removed;
+	// 0 means that they never are.
+	MaxKeyAge time.Duration
 }
 
 // Error reports an invalid setting.
@@ -119,6 +127,7 @@
 		{"apply-time", b.MaxApplyTime.Seconds()},
 		{"stop-time", b.MaxStopTime.Seconds()},
 		{"extra-window", b.ExtraWindow.Seconds()},
+		{"quota-window", b.QuotaWindow.Seconds()},
 	} {
 		if r.value <= 0 || r.value > MaxBoundTime.Seconds() {
 			return &Error{Key: r.key, Reason: fmt.Sprintf("want a number above 0 and at most %v", MaxBoundTime)}
@@ -127,6 +136,9 @@
 	if b.ReportInterval < 0 || b.ReportInterval > MaxBoundTime {
 		return &Error{Key: "report-interval", Reason: fmt.Sprintf("is %v, want 0 to %v", b.ReportInterval, MaxBoundTime)}
 	}
+	if b.MaxKeyAge < 0 || b.MaxKeyAge > MaxBoundTime {
+		return &Error{Key: "max-key-age", Reason: fmt.Sprintf("is %v, want 0 to %v", b.MaxKeyAge, MaxBoundTime)}
+	}
 	for _, r := range []struct {
 		key   string
 		value float64
@@ -135,6 +147,8 @@
 		{"extra-slack", float64(b.ExtraSlack)},
 		{"cold-factor", b.ColdFactor},
 		{"cold-slack", float64(b.ColdSlack)},
+		{"quota-overage", b.QuotaOverage},
+		{"quota-slack", b.QuotaSlack},
 	} {
 		if !(r.value >= 0 && r.value <= MaxCount) { // false for NaN too
 			return &Error{Key: r.key, Reason: fmt.Sprintf("is %g, want 0 to %d", r.value, MaxCount)}
