feat(workspace): quotas that the whole fleet keeps

The sum over instances had no bound. A few lenders for each workspace lend permissions that expire; instances have reserves.

--- a/internal/forward/reply/reply.go
+++ b/internal/forward/reply/reply.go
@@ -44,6 +44,11 @@
 	return Reply{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: after}
 }
 
+// Exceeded returns the reply to a request over a quota. It was not run and never will be.
+func Exceeded(reason string, after time.Duration) Reply {
+	return Reply{Status: http.StatusTooManyRequests, Reason: reason, RetryAfter: after}
+}
+
 // Failed returns the reply to a request that failed and may have run.
 func Failed(status int, reason string) Reply { return Reply{Status: status, Reason: reason} }
 
--- a/internal/forward/runner/admission.go
+++ b/internal/forward/runner/admission.go
@@ -2,19 +2,63 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"crocuswing/internal/forward/reply"
 	"crocuswing/internal/published/state"
 	"crocuswing/internal/workspace/credential"
+	"crocuswing/internal/workspace/workspace"
 )
 
 // admission decides which requests of workspaces run.
 type admission struct {
 	// maxKeyAge is the age of the view above which its keys are not relied on; 0 if they always are.
 	maxKeyAge atomic.Int64
+	quotas    Quotas // nil if none are kept
+}
+
+// Quotas keeps the quotas of workspaces.
+type Quotas interface {
+	// Admit waits for permission to run a request, for some tens of milliseconds at most. It fails with *quota.ExceededError. If the
+	// request does not begin to run, giveBack is called.
+	Admit(ctx context.Context, w *workspace.Workspace) (giveBack func(), err error)
+}
+
+// WithQuotas returns an option that keeps the quotas of workspaces.
+func WithQuotas(q Quotas) Option { return func(r *Runner) { r.quotas = q } }
+
+// takeQuota takes the permission to run the request. It returns a reply if there is none.
+func (h *handler) takeQuota(ctx context.Context) (giveBack func(), rep *reply.Reply) {
+	if h.quotas == nil || !h.workspace.IsLimited() {
+		return func() {}, nil
+	}
+	giveBack, err := h.quotas.Admit(ctx, h.workspace)
+	if err == nil {
+		return giveBack, nil
+	}
+	var after time.Duration
+	if errors.As(err, &h.exceeded) {
+		after = h.exceeded.RetryAfter
+	}
+	result := reply.Exceeded(err.Error(), after)
+	return nil, &result
+}
+
+// label returns the name of the workspace for metrics: those of the largest quotas have their own, the others share one.
+func (h *handler) label() string {
+	if workspaces, ok := h.view.Table.Workspaces(); ok && workspaces.IsLarge(h.workspace.Name) {
+		return strings.Map(func(r rune) rune {
+			if r == '"' || r == '\\' {
+				return '_' // ends or escapes the label
+			}
+			return r
+		}, h.workspace.Name)
+	}
+	return "other"
 }
 
 // SetMaxKeyAge sets the age of the view above which requests with a key are refused, because the key may have been removed; 0 means that
@@ -111,6 +155,9 @@
 	return true
 }
 
+// hasBegun reports whether something may have been sent.
+func (p *permit) hasBegun() bool { return p.state.Load() == permitBegun }
+
 // isRevoked reports whether the key was removed before anything was sent.
 func (p *permit) isRevoked() bool {
 	if p.state.Load() == permitOpen && !p.isKeyValid() {
--- a/internal/forward/runner/handler.go
+++ b/internal/forward/runner/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -11,6 +12,7 @@
 	"crocuswing/internal/forward/request"
 	"crocuswing/internal/published/state"
 	"crocuswing/internal/routing/route"
+	"crocuswing/internal/workspace/quota"
 	"crocuswing/internal/workspace/workspace"
 
 	"go.uber.org/zap"
@@ -24,8 +26,9 @@
 	viewAge   time.Duration
 	route     *route.Route // as it applies to the workspace; nil if the request has none
 	workspace *workspace.Workspace
-	permit    *permit    // nil if the request needs no key
-	execution *execution // nil if the request was not run
+	permit    *permit              // nil if the request needs no key
+	exceeded  *quota.ExceededError // nil unless the request is over the quota
+	execution *execution           // nil if the request was not run
 }
 
 func (h *handler) run(ctx context.Context) reply.Reply {
@@ -51,15 +54,22 @@
 	if h.workspace == nil {
 		return h.execute(ctx)
 	}
+	giveBack, rep := h.takeQuota(ctx)
+	if rep != nil {
+		return *rep
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h.permit = newPermit(h.viewer, h.view, h.request.Credential, h.workspace.Name, cancel)
 	h.request.Permit = h.permit.allow
-	rep := h.execute(ctx)
+	result := h.execute(ctx)
+	if !h.permit.hasBegun() {
+		giveBack()
+	}
 	if h.permit.isRevoked() {
 		return reply.Failed(http.StatusUnauthorized, "the key was removed before the request was sent")
 	}
-	return rep
+	return result
 }
 
 // execute reads the body and runs the request.
@@ -95,6 +105,11 @@
 	}
 	if h.workspace != nil {
 		fields = append(fields, zap.String("workspace", h.workspace.Name))
+		h.meter.Count(`crocuswing_workspace_requests_total{workspace="` + h.label() + `",status="` + strconv.Itoa(rep.Status) + `"}`)
+	}
+	if x := h.exceeded; x != nil {
+		fields = append(fields, zap.Float64("rate", x.Quota.Rate), zap.Float64("burst", x.Quota.Burst), zap.Int("own-reserve", x.Reserve),
+			zap.Int("last-grant", x.LastGrant), zap.Bool("lenders-lost", x.IsLenderLost), zap.Duration("retry-after", x.RetryAfter))
 	}
 	name := "none"
 	if x := h.execution; x != nil {
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"crocuswing/internal/stats/history"
 	"crocuswing/internal/upstream/catalog"
 	"crocuswing/internal/upstream/link"
+	"crocuswing/internal/workspace/enforcer"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
@@ -63,6 +64,7 @@
 	catalog     *catalog.Catalog
 	membership  *membership.Membership
 	aggregators *aggregator.Selector
+	quotas      *enforcer.Enforcer
 	runner      *runner.Runner
 	conns       *connections.Connections
 	inFlight    *inflight.Tracker
@@ -107,8 +109,9 @@
 	g.follower.SetReportInterval(s.ReportInterval)
 	g.membership.SetFailureDomain(s.FailureDomain)
 	g.aggregators = aggregator.New(g.membership, s.Regions)
+	g.quotas = g.newQuotas(s.Bounds)
 	g.runner = runner.New(p.Protocol, g.catalog, g.follower, latencyHistory, g.metrics, g.log, runner.WithLimiter(g.subrequests),
-		runner.WithAggregators(s.Region, g.aggregators))
+		runner.WithAggregators(s.Region, g.aggregators), runner.WithQuotas(g.quotas))
 	g.applyWorkspaceBounds(s.Bounds)
 	g.handler = g.limitRequests(p.NewHandler(g.runner))
 	g.metrics.Gauge("crocuswing_instances", func() float64 { return float64(g.membership.Size()) })
@@ -161,7 +164,7 @@
 	metrics := &http.Server{Handler: g.metricsHandler(g.ports.MetricsPath), ReadHeaderTimeout: headerTimeout}
 	methods := map[string]server.Handler{
 		membership.Method: g.membership.Handle, relay.Method: relay.Handler(g.follower), aggregator.Method: g.aggregate,
-		aggregator.RestMethod: g.aggregateRest,
+		aggregator.RestMethod: g.aggregateRest, enforcer.Method: g.quotas.Handle,
 	}
 	peers := server.New(methods, func() uint64 { return 0 }, func(uint64) {})
 
@@ -170,6 +173,7 @@
 	group.Go(func() error { g.membership.Run(backgroundCtx); return nil })
 	group.Go(func() error { g.catalog.Run(backgroundCtx); return nil })
 	group.Go(func() error { g.aggregators.Run(backgroundCtx); return nil })
+	group.Go(func() error { g.quotas.Run(backgroundCtx); return nil })
 	group.Go(func() error { g.conns.Run(backgroundCtx); return nil })
 	group.Go(func() error { return socket.Serve(callers, listeners.callers) })
 	group.Go(func() error { return socket.Serve(ready, listeners.ready) })
--- a/internal/workspace/directory/directory.go
+++ b/internal/workspace/directory/directory.go
@@ -3,7 +3,10 @@
 package directory
 
 import (
+	"cmp"
 	"fmt"
+	"math"
+	"slices"
 
 	"crocuswing/internal/workspace/credential"
 	"crocuswing/internal/workspace/workspace"
@@ -12,10 +15,16 @@
 // maxNameBytes limits the length of a name, which travels in a header and in log lines.
 const maxNameBytes = 256
 
+// maxLarge is the number of workspaces that have metrics of their own.
+const maxLarge = 20
+
 // Directory holds the workspaces of a configuration. It is immutable.
 type Directory struct {
 	byHash map[credential.Hash]*workspace.Workspace
 	byName map[string]*workspace.Workspace
+	large  map[string]bool
+	// hasLimits reports whether any workspace has a limit.
+	hasLimits bool
 }
 
 // Entry is a workspace with the hashes of its keys.
@@ -53,6 +62,7 @@
 		}
 		w := e.Workspace
 		d.byName[w.Name] = &w
+		d.hasLimits = d.hasLimits || w.IsLimited()
 		for n, hash := range e.Keys {
 			if other := d.byHash[hash]; other != nil {
 				return nil, &Error{Index: i, Name: e.Name, Field: fmt.Sprintf("key %d", n), Reason: fmt.Sprintf("is also a key of workspace %.40q", other.Name)}
@@ -60,9 +70,30 @@
 			d.byHash[hash] = &w
 		}
 	}
+	d.large = largest(entries)
 	return d, nil
 }
 
+// largest returns the names of the workspaces with the largest quotas. No limit is the largest.
+func largest(entries []Entry) map[string]bool {
+	rate := func(e Entry) float64 {
+		if e.IsLimited() {
+			return e.Rate
+		}
+		return math.Inf(1)
+	}
+	sorted := slices.Clone(entries)
+	slices.SortStableFunc(sorted, func(a, b Entry) int { return cmp.Compare(rate(b), rate(a)) })
+	large := make(map[string]bool, maxLarge)
+	for _, e := range sorted[:min(maxLarge, len(sorted))] {
+		large[e.Name] = true
+	}
+	return large
+}
+
+// IsLarge reports whether the workspace is one of the 20 with the largest quotas, which have metrics of their own.
+func (d *Directory) IsLarge(name string) bool { return d.large[name] }
+
 // invalidName returns the reason why a name cannot be sent in a header, if any.
 func invalidName(name string) string {
 	if name == "" || len(name) > maxNameBytes {
@@ -95,5 +126,8 @@
 	return w, ok
 }
 
+// HasLimits reports whether any workspace has a limit.
+func (d *Directory) HasLimits() bool { return d.hasLimits }
+
 // Len returns the number of workspaces.
 func (d *Directory) Len() int { return len(d.byName) }
