--- a/internal/forward/runner/admission_test.go
+++ b/internal/forward/runner/admission_test.go
@@ -18,6 +18,7 @@
 	"crocuswing/internal/routing/table"
 	"crocuswing/internal/workspace/credential"
 	"crocuswing/internal/workspace/directory"
+	"crocuswing/internal/workspace/quota"
 	"crocuswing/internal/workspace/workspace"
 
 	"github.com/stretchr/testify/require"
@@ -203,3 +204,52 @@
 		require.Equal(t, http.StatusOK, k.run(k.request("key")).Status)
 	})
 }
+
+// fakeQuotas admits requests while there are permissions.
+type fakeQuotas struct{ permissions int }
+
+func (q *fakeQuotas) Admit(_ context.Context, w *workspace.Workspace) (giveBack func(), err error) {
+	if q.permissions == 0 {
+		return nil, &quota.ExceededError{Workspace: w.Name, Quota: w.Quota, RetryAfter: 700 * time.Millisecond}
+	}
+	q.permissions--
+	return func() { q.permissions++ }, nil
+}
+
+// TestQuota checks that a request over the quota is refused before its body is read and without an upstream, that one that was not sent
+// gives its permission back, and that public routes and workspaces without a limit need none.
+func TestQuota(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := newKeyed(t, orderShape())
+		defer k.stop()
+		q := &fakeQuotas{permissions: 1}
+		k.runner.quotas = q
+		require.Equal(t, http.StatusOK, k.run(k.request("key")).Status)
+		require.Equal(t, 1, q.permissions, "no limit")
+
+		limited := workspace.Workspace{Name: "w", Quota: workspace.Quota{Rate: 1}}
+		limited.Regions = []string{"elsewhere"}
+		k.publishKeys(limited, "key")
+		require.Equal(t, http.StatusServiceUnavailable, k.run(k.request("key")).Status)
+		require.Equal(t, 1, q.permissions, "given back")
+		broken := k.request("key")
+		broken.ReadBody = func() ([]byte, error) { return nil, &request.BodyError{Status: http.StatusRequestEntityTooLarge} }
+		require.Equal(t, http.StatusRequestEntityTooLarge, k.run(broken).Status)
+		require.Equal(t, 1, q.permissions, "given back")
+
+		limited.Regions = nil
+		k.publishKeys(limited, "key")
+		require.Equal(t, http.StatusOK, k.run(k.request("key")).Status)
+		require.Zero(t, q.permissions)
+		over := k.request("key")
+		over.ReadBody = func() ([]byte, error) { t.Error("the body is read"); return nil, nil }
+		arrivals := k.arrivals()
+		rep := k.run(over)
+		require.Equal(t, http.StatusTooManyRequests, rep.Status)
+		require.Equal(t, 700*time.Millisecond, rep.RetryAfter)
+		require.Equal(t, arrivals, k.arrivals())
+		public := k.request("key")
+		public.Path = "/public/x"
+		require.Equal(t, http.StatusOK, k.run(public).Status)
+	})
+}
--- a/internal/workspace/credential/credential.go
+++ b/internal/workspace/credential/credential.go
@@ -100,5 +100,8 @@
 	return "missing"
 }
 
+// MarshalText returns the same as String.
+func (c Credential) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
+
 // GoString returns the same as String.
 func (c Credential) GoString() string { return c.String() }
--- a/internal/workspace/lender/lender.go
+++ b/internal/workspace/lender/lender.go
@@ -42,6 +42,9 @@
 // Lend lends up to want permissions. since is the time from which this instance lends to the workspace, and share the share of the plan's
 // rate that it may lend.
 func (l *Lender) Lend(now time.Time, workspace string, p quota.Plan, share float64, since time.Time, want int) Loan {
+	if now.Before(since) {
+		return Loan{Wait: since.Sub(now)}
+	}
 	b := l.buckets[workspace]
 	if b == nil || since.After(b.since) {
 		if len(l.buckets) >= l.sweepAt {
@@ -59,11 +62,11 @@
 	b.level = min(b.level, p.Capacity) // the limit may have been lowered
 	granted := max(0, min(want, int(b.level)))
 	b.level -= float64(granted)
-	b.fullAt = latest(now, since).Add(fillTime(p.Capacity-b.level, rate))
+	b.fullAt = now.Add(fillTime(p.Capacity-b.level, rate))
 	if granted > 0 {
 		return Loan{Granted: granted}
 	}
-	return Loan{Wait: max(0, since.Sub(now)) + min(maxWait, fillTime(1-b.level, rate))}
+	return Loan{Wait: min(maxWait, fillTime(1-b.level, rate))}
 }
 
 // fillTime returns the time in which n permissions are added.
@@ -74,13 +77,6 @@
 	return maxFillTime
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // maxWait bounds the time that a caller is told to wait.
 const maxWait = time.Minute
 
