fix(state): a second cold time told through other instances is taken as new

Cause: a report whose remaining cold time was not above the known one counted as unchanged. Instances that get the state from another one do not see the reports in which the value falls to 0, so they took the second cold time for the rest of the first.

Change: every report with a remaining cold time is a change, which is relayed and reaches the catalog. The model of the relay writes cold times and heartbeats and checks until when each instance counts an upstream as cold.

Before, TestSecondColdTime: 'the second cold time of 1s is taken for the first'; TestRandomHistories: 'i-4 does not know that upstream 13 has been cold for 3s'. After: both pass, go test ./internal/published/...

--- a/internal/published/relay/model_test.go
+++ b/internal/published/relay/model_test.go
@@ -18,6 +18,8 @@
 	maxDisturbance = 6 * time.Second
 	// modelSeeds is the number of histories.
 	modelSeeds = 20
+	// maxColdTime is the longest cold time of an upstream.
+	maxColdTime = 8 * time.Second
 )
 
 // lastWrite is what the history has written last for an upstream.
@@ -25,6 +27,14 @@
 	registration.Registration
 	isRemoved bool
 	at        time.Time
+	coldSince time.Time
+	coldUntil time.Time
+}
+
+// knownCold is the report by which an instance knows an upstream, and until when the instance counts it as cold.
+type knownCold struct {
+	registration.Registration
+	until time.Time
 }
 
 // randomHistory plays a random history of reports, removals, drains, lapses, compactions and outages of the store, and of freezes, cuts and
@@ -42,6 +52,7 @@
 	unstable  time.Time            // end of the latest disturbance of the store
 	dropped   map[string]map[string]registration.Registration
 	seen      map[string]map[string]registration.Registration
+	cold      map[string]map[string]knownCold // by instance
 }
 
 func (h *randomHistory) logf(format string, args ...any) {
@@ -66,8 +77,19 @@
 
 func (h *randomHistory) setReport(r registration.Registration) {
 	h.report(r)
-	h.writes[r.Upstream] = lastWrite{Registration: r, at: time.Now()}
-	h.logf("upstream %s reports incarnation %d, sequence %d, draining %t", r.Upstream, r.Incarnation, r.Sequence, r.Draining)
+	f := lastWrite{Registration: r, at: time.Now(), coldSince: h.writes[r.Upstream].coldSince, coldUntil: h.writes[r.Upstream].coldUntil}
+	if end := f.at.Add(r.Cold); r.Cold == 0 || !end.Equal(f.coldUntil) {
+		f.coldSince, f.coldUntil = f.at, end
+	}
+	h.writes[r.Upstream] = f
+	h.logf("upstream %s reports incarnation %d, sequence %d, draining %t, cold %v", r.Upstream, r.Incarnation, r.Sequence, r.Draining, r.Cold)
+}
+
+// heartbeat writes the next report of an upstream, with the rest of its cold time.
+func (h *randomHistory) heartbeat(f lastWrite) {
+	f.Sequence++
+	f.Cold = max(0, time.Until(f.coldUntil))
+	h.setReport(f.Registration)
 }
 
 func (h *randomHistory) setRemoved(f lastWrite) {
@@ -80,7 +102,7 @@
 func (h *randomHistory) step() {
 	f, ok := h.pickUp()
 	isLeaving := f.Draining
-	switch k := h.rng.IntN(12); {
+	switch k := h.rng.IntN(14); {
 	case k < 3:
 		h.setReport(registration.Registration{Upstream: fmt.Sprint(h.next), Service: "s", Incarnation: 1, Sequence: 1})
 		h.next++
@@ -88,17 +110,19 @@
 	case k < 6:
 		h.setRemoved(f)
 	case k < 7:
-		f.Sequence++
 		f.Draining = true
-		h.setReport(f.Registration)
+		h.heartbeat(f)
 	case k < 8 && !isLeaving:
-		f.Sequence++
-		h.setReport(f.Registration)
+		h.heartbeat(f)
 	case k < 9:
 		f.Incarnation++
-		f.Sequence, f.Draining = 1, false
+		f.Sequence, f.Draining, f.Cold = 1, false, 0
 		h.setReport(f.Registration)
-	case k < 10:
+	case k < 11 && !isLeaving:
+		f.Sequence++
+		f.Cold = time.Duration(h.rng.Int64N(int64(maxColdTime)))
+		h.setReport(f.Registration)
+	case k < 12:
 		h.compact()
 		h.logf("the store forgets its history")
 	default:
@@ -129,7 +153,7 @@
 		h.disturbed[x.name] = now
 		h.logf("%s restarts", x.name)
 		x.start()
-		h.dropped[x.name], h.seen[x.name] = nil, nil
+		h.dropped[x.name], h.seen[x.name], h.cold[x.name] = nil, nil, nil
 	default:
 		h.outage(d)
 	}
@@ -154,8 +178,7 @@
 	}
 	if isLapse {
 		h.run(time.Duration(h.rng.Int64N(int64(returnTime))))
-		f.Sequence++
-		h.setReport(f.Registration)
+		h.heartbeat(f)
 	}
 }
 
@@ -186,6 +209,7 @@
 		}
 	}
 	h.seen[x.name] = view
+	h.recordCold(x, view)
 	if now.Sub(h.disturbed[x.name]) < stableTime || now.Sub(h.unstable) < stableTime {
 		return
 	}
@@ -200,6 +224,20 @@
 		default:
 			h.verify(ok, "%s lacks upstream %s %v after its report", x.name, name, now.Sub(f.at))
 			h.verify(r.Incarnation == f.Incarnation && r.Draining == f.Draining, "%s has an old report of upstream %s %v after the new one", x.name, name, now.Sub(f.at))
+			isCold := now.Before(f.coldUntil) && now.Sub(f.coldSince) >= drainTime
+			h.verify(!isCold || !h.cold[x.name][name].until.Before(f.coldUntil), "%s does not know that upstream %s has been cold for %v", x.name, name, now.Sub(f.coldSince))
+		}
+	}
+}
+
+// recordCold records until when the instance counts each upstream as cold, by the same rule as a cluster of upstreams.
+func (h *randomHistory) recordCold(x *freezable, view map[string]registration.Registration) {
+	if h.cold[x.name] == nil {
+		h.cold[x.name] = make(map[string]knownCold)
+	}
+	for name, r := range view {
+		if h.cold[x.name][name].Registration != r {
+			h.cold[x.name][name] = knownCold{Registration: r, until: time.Now().Add(r.Cold)}
 		}
 	}
 }
@@ -223,7 +261,7 @@
 			h := &randomHistory{
 				T: t, freezableFleet: c, rng: rand.New(rand.NewPCG(seed, 1)), ranked: ranked, writes: make(map[string]lastWrite), next: 10,
 				disturbed: make(map[string]time.Time), dropped: make(map[string]map[string]registration.Registration),
-				seen: make(map[string]map[string]registration.Registration),
+				seen: make(map[string]map[string]registration.Registration), cold: make(map[string]map[string]knownCold),
 			}
 			h.logf("seed %d", seed)
 			for k := range h.next {
--- a/internal/published/state/state.go
+++ b/internal/published/state/state.go
@@ -197,14 +197,15 @@
 	return true, isNew
 }
 
-// hasMaterialChange reports whether b differs from a in more than the values that change with every report: the sequence, which
-// grows, and the remaining cold time, which falls.
+// hasMaterialChange reports whether b differs from a in more than the sequence, which grows with every report, or the end of a cold time.
+// Every report with a remaining cold time is a change: by the value alone, a second cold time cannot be told from the rest of the first
+// by an instance that has not seen the reports in between.
 func hasMaterialChange(a, b registration.Registration) bool {
 	a.Sequence = b.Sequence
-	if b.Cold <= a.Cold {
-		a.Cold = b.Cold
+	if b.Cold == 0 {
+		a.Cold = 0
 	}
-	return a != b
+	return a != b || b.Cold > 0
 }
 
 // remove reports whether the removal changes the known state. An upstream that may be about to register again is kept until the
--- a/internal/published/state/state_test.go
+++ b/internal/published/state/state_test.go
@@ -304,3 +304,30 @@
 	require.Empty(t, update(s, 1).Items)
 	require.Equal(t, []change.Item{newest.Item}, update(s, 0).Items)
 }
+
+// TestSecondColdTime guards against a flood of a cold upstream: an instance that learns of a second cold time through another one took it
+// for the first, because the reports in between, in which the remaining time falls to 0, are not relayed.
+func TestSecondColdTime(t *testing.T) {
+	cold := func(sequence int64, d time.Duration) change.Change {
+		c := report("u", 1, sequence, false)
+		c.Registration.Cold = d
+		c.Value = []byte(fmt.Sprint(sequence))
+		return c
+	}
+	for _, second := range []time.Duration{time.Second, 3 * time.Second, 5 * time.Second} {
+		now := time.Now()
+		reader, child, grandchild := New(testGracePeriod), New(testGracePeriod), New(testGracePeriod)
+		reports := []change.Change{cold(1, 3*time.Second), cold(2, 1800*time.Millisecond), cold(3, 600*time.Millisecond), cold(4, 0), cold(5, second), cold(6, 0)}
+		for k, c := range reports {
+			reader.Apply(batch(int64(k+1), c), now)
+			for _, pair := range []struct{ from, to *State }{{reader, child}, {child, grandchild}} {
+				v, _ := pair.to.Apply(relayed(update(pair.from, pair.to.View().Revision), reports...), now)
+				if c.Registration.Sequence == 5 {
+					require.Equal(t, []string{"u"}, v.Changed, "the second cold time of %v is taken for the first", second)
+					require.Equal(t, second, v.Upstreams["u"].Cold)
+				}
+			}
+			now = now.Add(1200 * time.Millisecond)
+		}
+	}
+}
