fix(membership): an instance has no shares until it knows the fleet

Cause: an instance that had just started divided the cold rate, the extra attempts and the connections by the few instances that it knew, so that the shares of all that start together added up to far more than the limits. Rounded down, the cold rate of 35 among 78 or 300 instances was also never used at all.

Change: an instance knows the fleet when one that knows it has counted it (one call after a restart), when it has joined for 6 s, or when all have started together and no new member came up for 1 s. Until then, and again after it was suspended, it assumes 2,800 instances and gets nothing of a cold rate. A call can ask for all members; instances of the former release ignore that. The units of a cold rate go to instances in the order of a ring by upstream (internal/fleet/share). A process sends nothing to cold upstreams in its first 1.2 s, since its former process may have used the share.

--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -1,5 +1,6 @@
-// Package membership tracks which instances of the tier are running. The catalog of upstreams divides the shared limits by their
-// number, and the relay of the published state selects its peers from them.
+// Package membership tracks which instances of the tier are running. The catalog of upstreams divides the shared limits among them, and
+// the relay of the published state selects its peers from them. An instance that has just started has no shares until it knows the fleet
+// (see knowledge).
 //
 // Each instance increments its own heartbeat counter. The counters spread by gossip, and an instance whose counter stops
 // increasing is considered failed: van Renesse, Minsky and Hayden, "A gossip-style failure detection service",
@@ -9,12 +10,11 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
+	"crocuswing/internal/fleet/share"
 	"crocuswing/internal/peer/client"
 	"crocuswing/internal/task/pause"
 
@@ -39,13 +39,6 @@
 	propagationFactor = 15
 	// tombstoneTimeout exceeds the time for which others still send entries of a failed instance.
 	tombstoneTimeout = 10 * time.Minute
-	// A message holds one in messageDivisor of the other instances, at least minMembers and at most maxMembers; the rest
-	// is sent in other rounds. At 2,800 instances this is 3 KB/s.
-	messageDivisor = 4
-	minMembers     = 8
-	maxMembers     = 32
-	// sampleFactor times as many instances are drawn, of which those with the most recent heartbeats are sent.
-	sampleFactor = 2
 )
 
 // Member is the gossiped entry of one instance.
@@ -59,43 +52,47 @@
 	FailureDomain string `msgpack:"d,omitempty"`
 }
 
-// Message is both the request and the reply of a gossip exchange.
-type Message struct {
-	Members []Member `msgpack:"m"`
-}
-
 // Membership tracks the running instances by gossip. It is safe for concurrent use.
 type Membership struct {
-	log          *zap.Logger
-	onSizeChange func(size int)
+	log           *zap.Logger
+	onFleetChange func(*share.Division)
+
+	reporting sync.Mutex // held during calls of onFleetChange, which thereby keep their order
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	knowledge
 	self    Member
 	seeds   []string
 	members map[string]*member
+	running []*member // members that have not failed, by name; nil after a change
 	clients map[string]*client.Client
-	size    int
+	size    int // as reported last
 	rng     *rand.Rand
 }
 
 type member struct {
 	Member
 	lastHeartbeat time.Time // time at which this instance last saw the heartbeat increase
-	failed        bool      // kept as a tombstone, so that outdated entries do not add it again
+	addedAt       time.Time // time from which this instance has counted it without interruption
+	// startedTogether reports that this instance knew it when it took the fleet for complete, without an instance that knew the fleet before.
+	startedTogether bool
+	knowsFleet      bool // as it has told this instance
+	failed          bool // kept as a tombstone, so that outdated entries do not add it again
 }
 
-// New returns the membership of the instance name, which others reach at address. It calls onSizeChange with each new
-// number of instances.
-func New(name, address string, seeds []string, log *zap.Logger, onSizeChange func(size int)) *Membership {
+// New returns the membership of the instance name, which others reach at address. It calls onFleetChange with each new division of limits
+// among the instances, and with nil when this instance no longer knows the fleet, as it does at its start.
+func New(name, address string, seeds []string, log *zap.Logger, onFleetChange func(*share.Division)) *Membership {
 	return &Membership{
-		log:          log,
-		onSizeChange: onSizeChange,
-		self:         Member{Name: name, Address: address, Incarnation: time.Now().UnixNano()},
-		seeds:        seeds,
-		members:      make(map[string]*member),
-		clients:      make(map[string]*client.Client),
-		size:         1,
-		rng:          rand.New(rand.NewPCG(xxhash.Sum64String(name), 0)),
+		log:           log,
+		onFleetChange: onFleetChange,
+		self:          Member{Name: name, Address: address, Incarnation: time.Now().UnixNano()},
+		seeds:         seeds,
+		members:       make(map[string]*member),
+		clients:       make(map[string]*client.Client),
+		size:          1,
+		rng:           rand.New(rand.NewPCG(xxhash.Sum64String(name), 0)),
+		knowledge:     knowledge{digest: xxhash.Sum64String(name)},
 	}
 }
 
@@ -154,60 +151,93 @@
 func (ms *Membership) Run(ctx context.Context) {
 	defer ms.close()
 	for round := 0; ctx.Err() == nil; round++ {
+		ms.beginRound(time.Now())
 		var calls sync.WaitGroup
-		for _, to := range ms.pickTargets(round) {
-			calls.Go(func() { ms.exchange(ctx, to) })
+		for i, to := range ms.pickTargets(round) {
+			calls.Go(func() { ms.exchange(ctx, to, ms.wantsAll(round, i)) })
 		}
 		calls.Wait()
-		ms.updateSize(time.Now())
-		wait := gossipInterval
-		if round < startupRounds {
-			wait = startupInterval
-		}
+		now := time.Now()
+		ms.update(now)
+		wait := ms.interval(round, now)
 		pause.For(ctx, wait/2+rand.N(wait))
 	}
 }
 
+// interval returns the mean time from this round to the next one.
+func (ms *Membership) interval(round int, now time.Time) time.Duration {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	if round < startupRounds || !ms.known || now.Before(ms.grownAt.Add(spreadTime)) {
+		return startupInterval
+	}
+	return gossipInterval
+}
+
 // Handle merges the message of another instance and returns the message of this one.
 func (ms *Membership) Handle(_ context.Context, body []byte) (any, error) {
 	var msg Message
 	if err := msgpack.Unmarshal(body, &msg); err != nil {
 		return nil, fmt.Errorf("census: %w", err)
 	}
-	ms.merge(msg, time.Now())
-	return ms.message(), nil
+	now := time.Now()
+	reply := ms.reply(msg, now)
+	ms.update(now)
+	return reply, nil
 }
 
-// pickTargets returns the addresses of random members, and of one seed that is not a known member, if there is one.
+// pickTargets returns the addresses of random members, and of one seed that is not a known member, if there is one. An instance that does
+// not know the fleet first calls a member that does, then several seeds, whether they are known or not.
 func (ms *Membership) pickTargets(round int) []string {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
 	ms.self.Heartbeat++
-	known := map[string]bool{ms.self.Address: true}
-	for _, m := range ms.members {
-		known[m.Address] = !m.failed
+	addresses := []string{}
+	excluded := map[string]bool{ms.self.Address: true}
+	add := func(address string) bool {
+		if excluded[address] {
+			return false
+		}
+		excluded[address] = true
+		addresses = append(addresses, address)
+		return true
 	}
-	var addresses []string
-	for _, m := range ms.sample(fanout) {
-		addresses = append(addresses, m.Address)
+	seedCount := startupSeeds
+	if ms.known {
+		seedCount = 1
+		for _, m := range ms.runningMembers() {
+			excluded[m.Address] = true
+		}
+	} else if m := ms.sampleKnowing(); m != nil {
+		add(m.Address)
 	}
 	for i := range ms.seeds {
-		if seed := ms.seeds[(round+i)%len(ms.seeds)]; !known[seed] {
-			return append(addresses, seed)
+		if seedCount > 0 && add(ms.seeds[(round+i)%len(ms.seeds)]) {
+			seedCount--
 		}
 	}
+	clear(excluded)
+	for _, address := range addresses {
+		excluded[address] = true
+	}
+	for _, m := range ms.sample(fanout) {
+		add(m.Address)
+	}
 	return addresses
 }
 
-func (ms *Membership) exchange(ctx context.Context, address string) {
+func (ms *Membership) exchange(ctx context.Context, address string, wantAll bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply Message
-	if err := ms.Call(ctx, address, Method, ms.message(), &reply); err != nil {
+	if err := ms.Call(ctx, address, Method, ms.request(wantAll, time.Now()), &reply); err != nil {
 		ms.log.Debug("instance not reached", zap.String("address", address), zap.Error(err))
 		return
 	}
-	ms.merge(reply, time.Now())
+	now := time.Now()
+	ms.merge(reply, now)
+	ms.learn(reply, now)
+	ms.update(now)
 }
 
 func (ms *Membership) client(address string) *client.Client {
@@ -221,36 +251,6 @@
 	return cl
 }
 
-func (ms *Membership) message() Message {
-	ms.mu.Lock()
-	defer ms.mu.Unlock()
-	size := ms.messageSize()
-	drawn := ms.sample(sampleFactor * size)
-	slices.SortStableFunc(drawn, func(a, b *member) int { return b.lastHeartbeat.Compare(a.lastHeartbeat) })
-	msg := Message{Members: []Member{ms.self}}
-	for _, m := range drawn[:min(size, len(drawn))] {
-		msg.Members = append(msg.Members, m.Member)
-	}
-	return msg
-}
-
-// sample returns at most n other running instances in random order.
-func (ms *Membership) sample(n int) []*member {
-	var all []*member
-	for _, name := range slices.Sorted(maps.Keys(ms.members)) {
-		if m := ms.members[name]; !m.failed {
-			all = append(all, m)
-		}
-	}
-	ms.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all[:min(n, len(all))]
-}
-
-// messageSize returns the number of other instances in a message.
-func (ms *Membership) messageSize() int {
-	return min(max(minMembers, len(ms.members)/messageDivisor), maxMembers)
-}
-
 // failureTimeout returns the time without a heartbeat after which an instance is considered failed. It assumes that this
 // instance receives 2*fanout messages per round: the replies to its own calls and, on average, as many calls of others.
 func (ms *Membership) failureTimeout() time.Duration {
@@ -259,6 +259,12 @@
 	return minFailureTimeout + time.Duration(propagationFactor*rounds)*gossipInterval
 }
 
+// toggle adds a name to the digest of the running members or takes it out.
+func (ms *Membership) toggle(name string) {
+	ms.digest ^= xxhash.Sum64String(name)
+	ms.running = nil
+}
+
 // merge adopts the entries of msg that are unknown or newer than the known ones.
 func (ms *Membership) merge(msg Message, now time.Time) {
 	ms.mu.Lock()
@@ -269,8 +275,13 @@
 			continue
 		}
 		known, ok := ms.members[m.Name]
-		if !ok || m.isNewerThan(known.Member) {
-			ms.members[m.Name] = &member{Member: m, lastHeartbeat: now}
+		switch {
+		case !ok || (known.failed && m.isNewerThan(known.Member)):
+			ms.members[m.Name] = &member{Member: m, lastHeartbeat: now, addedAt: now}
+			ms.toggle(m.Name)
+			ms.grownAt = now
+		case m.isNewerThan(known.Member):
+			known.Member, known.lastHeartbeat = m, now
 		}
 	}
 }
@@ -291,20 +302,6 @@
 	return m.Heartbeat > o.Heartbeat
 }
 
-// updateSize marks the instances that have failed and reports the number of running ones if it has changed.
-func (ms *Membership) updateSize(now time.Time) {
-	ms.mu.Lock()
-	ms.expire(now)
-	size := len(ms.sample(len(ms.members))) + 1
-	changed := size != ms.size
-	ms.size = size
-	ms.mu.Unlock()
-	if changed {
-		ms.log.Info("number of instances", zap.Int("instances", size))
-		ms.onSizeChange(size)
-	}
-}
-
 // expire marks instances without a recent heartbeat as failed, drops old tombstones, and closes clients that are no longer used.
 func (ms *Membership) expire(now time.Time) {
 	addresses := make(map[string]bool)
@@ -317,6 +314,7 @@
 		case !m.failed && sinceHeartbeat > timeout:
 			ms.log.Info("instance is gone", zap.String("peer", name), zap.Duration("silent-for", sinceHeartbeat))
 			m.failed = true
+			ms.toggle(name)
 		case !m.failed:
 			addresses[m.Address] = true
 		}
--- a/internal/fleet/membership/membership_test.go
+++ b/internal/fleet/membership/membership_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"crocuswing/internal/fleet/share"
+
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 )
@@ -13,7 +15,7 @@
 func newMemberships(n int) []*Membership {
 	var all []*Membership
 	for i := range n {
-		ms := New(fmt.Sprintf("i-%d", i), fmt.Sprintf("10.0.0.%d:1", i), []string{"10.0.0.0:1"}, zap.NewNop(), func(int) {})
+		ms := New(fmt.Sprintf("i-%d", i), fmt.Sprintf("10.0.0.%d:1", i), []string{"10.0.0.0:1"}, zap.NewNop(), func(*share.Division) {})
 		all = append(all, ms)
 	}
 	return all
@@ -25,18 +27,27 @@
 		if isDown(ms) {
 			continue
 		}
-		for _, to := range ms.pickTargets(round) {
+		ms.beginRound(now)
+		for i, to := range ms.pickTargets(round) {
 			for _, other := range all {
 				if other.self.Address == to && !isDown(other) {
-					other.merge(ms.message(), now)
-					ms.merge(other.message(), now)
+					exchange(ms, other, round, i, now)
 				}
 			}
 		}
-		ms.updateSize(now)
+		ms.update(now)
 	}
 }
 
+// exchange plays one call without a network.
+func exchange(ms, other *Membership, round, i int, now time.Time) {
+	reply := other.reply(ms.request(ms.wantsAll(round, i), now), now)
+	ms.merge(reply, now)
+	ms.learn(reply, now)
+	ms.update(now)
+	other.update(now)
+}
+
 func noneDown(*Membership) bool { return false }
 
 // TestSize checks that all instances are discovered through one seed, stay counted while they run, and are dropped when they end.
@@ -74,8 +85,8 @@
 		now = now.Add(gossipInterval)
 		gossipRound(all, round, now, noneDown)
 	}
-	oldMessage := all[1].message()
-	restarted := New("i-1", "10.0.0.1:1", []string{"10.0.0.0:1"}, zap.NewNop(), func(int) {})
+	oldMessage := all[1].request(false, now)
+	restarted := New("i-1", "10.0.0.1:1", []string{"10.0.0.0:1"}, zap.NewNop(), func(*share.Division) {})
 	restarted.self.Incarnation = all[1].self.Incarnation + 1
 	all[1] = restarted
 	gossipRound(all, 0, now, noneDown)
@@ -84,15 +95,19 @@
 	require.Equal(t, restarted.self.Incarnation, all[0].Members()[0].Incarnation)
 }
 
-// TestSizeChange checks that each new number of instances is reported once.
+// TestSizeChange checks that each new number of instances is reported once, from when the fleet is known.
 func TestSizeChange(t *testing.T) {
 	var sizes []int
-	ms := New("a", "10.0.0.9:1", nil, zap.NewNop(), func(n int) { sizes = append(sizes, n) })
+	ms := New("a", "10.0.0.9:1", nil, zap.NewNop(), func(d *share.Division) { sizes = append(sizes, d.Instances()) })
 	now := time.Now()
+	ms.beginRound(now)
 	ms.merge(Message{Members: []Member{{Name: "b", Address: "x", Incarnation: 1, Heartbeat: 1}, {Name: "a", Incarnation: 9}}}, now)
-	ms.updateSize(now)
-	ms.updateSize(now)
-	ms.updateSize(now.Add(time.Hour))
+	ms.update(now)
+	require.Empty(t, sizes)
+	now = now.Add(quietTime)
+	ms.update(now)
+	ms.update(now)
+	ms.update(now.Add(time.Hour))
 	require.Equal(t, []int{2, 1}, sizes)
 }
 
@@ -102,7 +117,7 @@
 	for i := range 2800 {
 		ms.merge(Message{Members: []Member{{Name: fmt.Sprint("m", i), Address: fmt.Sprint("a", i), Incarnation: 1}}}, time.Now())
 	}
-	require.Len(t, ms.message().Members, maxMembers+1)
+	require.Len(t, ms.request(false, time.Now()).Members, maxMembers+1)
 }
 
 // TestClockJumpsBack restarts an instance with an earlier wall-clock time than its former process. The restarted instance has
@@ -115,7 +130,7 @@
 		gossipRound(all, round, now, noneDown)
 	}
 	former := all[3].self
-	all[3] = New(former.Name, former.Address, []string{"10.0.0.0:1"}, zap.NewNop(), func(int) {})
+	all[3] = New(former.Name, former.Address, []string{"10.0.0.0:1"}, zap.NewNop(), func(*share.Division) {})
 	all[3].self.Incarnation = former.Incarnation - time.Minute.Nanoseconds()
 	for round := range 200 {
 		now = now.Add(gossipInterval)
--- a/internal/published/relay/model_test.go
+++ b/internal/published/relay/model_test.go
@@ -214,22 +214,26 @@
 		return
 	}
 	for name, f := range h.writes {
-		if now.Sub(f.at) < drainTime {
-			continue
-		}
-		r, ok := view[name]
-		switch {
-		case f.isRemoved:
-			h.verify(!ok, "%s has upstream %s %v after its removal", x.name, name, now.Sub(f.at))
-		default:
-			h.verify(ok, "%s lacks upstream %s %v after its report", x.name, name, now.Sub(f.at))
-			h.verify(r.Incarnation == f.Incarnation && r.Draining == f.Draining, "%s has an old report of upstream %s %v after the new one", x.name, name, now.Sub(f.at))
-			isCold := now.Before(f.coldUntil) && now.Sub(f.coldSince) >= drainTime
-			h.verify(!isCold || !h.cold[x.name][name].until.Before(f.coldUntil), "%s does not know that upstream %s has been cold for %v", x.name, name, now.Sub(f.coldSince))
+		if now.Sub(f.at) >= drainTime {
+			h.checkWritten(x, name, f, view)
 		}
 	}
 }
 
+// checkWritten compares what an undisturbed instance knows of an upstream with what was written last.
+func (h *randomHistory) checkWritten(x *freezable, name string, f lastWrite, view map[string]registration.Registration) {
+	now := time.Now()
+	r, ok := view[name]
+	if f.isRemoved {
+		h.verify(!ok, "%s has upstream %s %v after its removal", x.name, name, now.Sub(f.at))
+		return
+	}
+	h.verify(ok, "%s lacks upstream %s %v after its report", x.name, name, now.Sub(f.at))
+	h.verify(r.Incarnation == f.Incarnation && r.Draining == f.Draining, "%s has an old report of upstream %s %v after the new one", x.name, name, now.Sub(f.at))
+	isCold := now.Before(f.coldUntil) && now.Sub(f.coldSince) >= drainTime
+	h.verify(!isCold || !h.cold[x.name][name].until.Before(f.coldUntil), "%s does not know that upstream %s has been cold for %v", x.name, name, now.Sub(f.coldSince))
+}
+
 // recordCold records until when the instance counts each upstream as cold, by the same rule as a cluster of upstreams.
 func (h *randomHistory) recordCold(x *freezable, view map[string]registration.Registration) {
 	if h.cold[x.name] == nil {
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -101,7 +101,7 @@
 	g.applyLimits(s)
 	latencyHistory := history.New()
 	g.catalog = catalog.New(s, latencyHistory, catalog.WithLinkOptions(link.WithMemoryLimit(g.bodies)))
-	g.membership = membership.New(s.Instance, s.PeerAddress, s.Seeds, g.log, g.catalog.SetInstanceCount)
+	g.membership = membership.New(s.Instance, s.PeerAddress, s.Seeds, g.log, g.catalog.SetFleet)
 	source := relay.New(p.Store, g.membership, g.metrics.Count)
 	g.follower = follower.New(source, pollInterval, g.log, follower.WithViewObserver(g.updateView), follower.WithCounter(g.metrics.Count))
 	g.follower.SetReportInterval(s.ReportInterval)
--- a/internal/upstream/catalog/catalog.go
+++ b/internal/upstream/catalog/catalog.go
@@ -1,8 +1,7 @@
 // Package catalog holds the clusters of all services to which a gateway forwards requests.
 //
 // The forward runner looks up the cluster of a service here for each subrequest. The catalog updates the clusters from the
-// published registrations and divides the shared limits of the upstreams (connections, cold rate and extra attempts) by the
-// number of instances.
+// published registrations and divides the shared limits of the upstreams (connections, cold rate and extra attempts) among the instances.
 package catalog
 
 import (
@@ -11,6 +10,7 @@
 	"sync"
 	"time"
 
+	"crocuswing/internal/fleet/share"
 	"crocuswing/internal/policy/retrybudget"
 	"crocuswing/internal/published/registration"
 	"crocuswing/internal/published/state"
@@ -30,6 +30,12 @@
 	preconnectInterval = 50 * time.Millisecond
 	// usableFraction reserves a part of the shared limits for instances that are not known yet.
 	usableFraction = 0.85
+	// unknownInstances is the number of instances that an instance assumes while it does not know the fleet, the largest one of the design:
+	// the shares of instances that have just started then never add up to more than the limits.
+	unknownInstances = 2800
+	// restartGuard is the time after the start of this process in which it sends nothing to cold upstreams: they may have had the share of
+	// this instance from its former process within the same second. It is as long as the window of the cold rate.
+	restartGuard = 1200 * time.Millisecond
 	// defaultConnections is the connection limit per upstream until the limit of its service is known.
 	defaultConnections = 8
 )
@@ -37,13 +43,15 @@
 // Catalog holds the clusters by the name of the service. It is safe for concurrent use.
 type Catalog struct {
 	settings          deployment.Settings
+	started           time.Time
 	history           *history.History
 	departures        *departure.Register
 	mu                sync.Mutex
 	clusters          map[string]*cluster.Cluster
 	serviceByUpstream map[string]string // name of the service by name of the upstream
 	view              *state.View
-	instances         int // number of instances that share the upstreams
+	instances         int             // number of instances that share the upstreams
+	division          *share.Division // nil if the names of the instances are not known
 	linkOptions       []link.Option
 }
 
@@ -59,12 +67,13 @@
 func New(s deployment.Settings, h *history.History, options ...Option) *Catalog {
 	c := &Catalog{
 		settings:          s,
+		started:           time.Now(),
 		history:           h,
 		departures:        departure.New(),
 		clusters:          make(map[string]*cluster.Cluster),
 		serviceByUpstream: make(map[string]string),
 		view:              &state.View{},
-		instances:         max(1, len(s.Seeds)),
+		instances:         unknownInstances,
 	}
 	for _, option := range options {
 		option(c)
@@ -87,7 +96,7 @@
 		cl.SetConnections(c.connectionShare(service))
 		cl.SetSubsetFraction(c.subsetFraction(service))
 		cl.SetExcludedDomains(c.view.ExcludedDomains)
-		cl.SetColdRate(c.coldRate(service))
+		cl.SetColdShare(c.coldShare(service))
 		c.clusters[service] = cl
 	}
 	return cl
@@ -126,16 +135,27 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n = max(1, n); n != c.instances {
-		c.instances = n
+		c.instances, c.division = n, nil
 		c.updateShares()
 	}
 }
 
+// SetFleet sets the division of limits among the instances that share the upstreams; nil if this instance does not know them.
+func (c *Catalog) SetFleet(d *share.Division) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.instances, c.division = d.Instances(), d
+	if d == nil {
+		c.instances = unknownInstances
+	}
+	c.updateShares()
+}
+
 // updateShares applies this instance's shares of the limits to all clusters and links.
 func (c *Catalog) updateShares() {
 	for name, cl := range c.clusters {
 		cl.SetBounds(c.extraRatio(), c.extraSlack())
-		cl.SetColdRate(c.coldRate(name))
+		cl.SetColdShare(c.coldShare(name))
 		cl.SetDrainTime(c.settings.DrainTime)
 		cl.SetConnections(c.connectionShare(name))
 		cl.SetSubsetFraction(c.subsetFraction(name))
@@ -185,17 +205,26 @@
 	return usableFraction * float64(s.MaxConnections) / float64(c.instances), true
 }
 
-// coldRate returns this instance's share of the requests per second to a cold upstream; negative for no limit.
-func (c *Catalog) coldRate(service string) int {
+// coldShare returns this instance's share of the requests per second to a cold upstream, by its name; nil for no limit.
+func (c *Catalog) coldShare(service string) func(upstream string) int {
 	if c.view.Table == nil {
-		return -1
+		return nil
 	}
 	s, ok := c.view.Table.Service(service)
 	if !ok || s.ColdRate <= 0 {
-		return -1
+		return nil
+	}
+	total := usableFraction * (s.ColdRate*c.settings.ColdFactor + float64(c.settings.ColdSlack))
+	if d := c.division; d != nil {
+		return func(upstream string) int {
+			if time.Since(c.started) < restartGuard {
+				return 0
+			}
+			return d.Of(int(math.Floor(total)), upstream)
+		}
 	}
-	total := s.ColdRate*c.settings.ColdFactor + float64(c.settings.ColdSlack)
-	return int(math.Floor(total / float64(c.instances)))
+	equal := int(math.Floor(total / float64(c.instances)))
+	return func(string) int { return equal }
 }
 
 func (c *Catalog) distance(r registration.Registration, region string) balancer.Distance {
--- a/internal/upstream/cluster/cluster.go
+++ b/internal/upstream/cluster/cluster.go
@@ -53,8 +53,8 @@
 
 	mu             sync.Mutex
 	replicas       []*Replica
-	excluded       map[string]bool // failure domains that receive no requests
-	coldRate       int             // requests per second of this instance to a cold replica; negative for no limit
+	excluded       map[string]bool           // failure domains that receive no requests
+	coldShare      func(upstream string) int // requests per second of this instance to a cold replica; nil for no limit
 	departures     *departure.Register
 	drainTime      time.Duration // time for which a leaving upstream serves after its announcement
 	instance       string
@@ -74,7 +74,7 @@
 
 // New returns an empty cluster. Its extra attempts are taken from budget.
 func New(name string, h *history.History, budget *retrybudget.Budget, options ...Option) *Cluster {
-	c := &Cluster{name: name, history: h, Budget: budget, coldRate: -1, subsetFraction: 1, departures: departure.New()}
+	c := &Cluster{name: name, history: h, Budget: budget, subsetFraction: 1, departures: departure.New()}
 	for _, option := range options {
 		option(c)
 	}
@@ -94,13 +94,6 @@
 	}
 }
 
-// SetColdRate sets the number of requests per second of this instance to a cold replica; negative for no limit.
-func (c *Cluster) SetColdRate(perSecond int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.coldRate = perSecond
-}
-
 // SetConnections sets the number of connections that this instance may open to each replica.
 func (c *Cluster) SetConnections(n int) {
 	c.mu.Lock()
@@ -259,7 +252,7 @@
 		return nil, false
 	}
 	r := replicas[i]
-	if c.coldRate >= 0 && r.isCold(now) {
+	if c.coldShare != nil && r.isCold(now) {
 		r.coldSendTimes = append(r.coldSendTimes, now)
 	}
 	return r, true
@@ -401,7 +394,7 @@
 	switch o {
 	case Unreachable:
 		r.recordConnectionRefusal(now)
-		if c.coldRate >= 0 {
+		if c.coldShare != nil {
 			r.assumedColdUntil = now.Add(assumedColdTime)
 		}
 	case Succeeded:
@@ -499,11 +492,6 @@
 	return c.firstAvailable(rt, c.hasColdCapacity)
 }
 
-// hasColdCapacity reports whether the replica is not cold or its cold rate permits another request now.
-func (c *Cluster) hasColdCapacity(r *Replica, now time.Time) bool {
-	return c.coldRate < 0 || !r.isCold(now) || r.isWithinColdRate(now, c.coldRate)
-}
-
 // firstAvailable returns the earliest end of a pause among the replicas that can accept requests of the route and satisfy match.
 func (c *Cluster) firstAvailable(rt *route.Route, match func(r *Replica, now time.Time) bool) (from time.Time, ok bool) {
 	c.mu.Lock()
