fix(follower): the grace period of a disturbed instance starts without delay

Cause: after a pause, an answer from before it was taken, and the next read was held for up to a second by another instance before the gap was noticed, which started the grace period anew. After a cut the next read came up to a second later. Both ended the grace period up to 0.2 s after the instance counted as undisturbed. The jitter of retries was not seeded, so that runs differed.

Change: while the view is old or reads fail, another instance is asked for an answer at once (request key n, ignored by the former release). The delay between failed reads is at most 0.7 s. The jitter can be seeded, and TestRandomHistories does so and plays 100 seeds.

--- a/internal/published/follower/expiry_test.go
+++ b/internal/published/follower/expiry_test.go
@@ -28,7 +28,7 @@
 	return change.Batch{Full: true, Revision: 1, Changes: []change.Change{{Item: change.Item{Key: "u"}, Name: "u", Registration: r}}}, nil
 }
 
-func (s *heldSource) ReadSince(ctx context.Context, _ int64) (change.Batch, error) {
+func (s *heldSource) ReadSince(ctx context.Context, _ int64, _ bool) (change.Batch, error) {
 	switch {
 	case time.Since(s.started) < s.outage:
 		return change.Batch{}, errors.New("store unavailable")
--- a/internal/published/follower/follower.go
+++ b/internal/published/follower/follower.go
@@ -33,9 +33,12 @@
 	fullTimeout = 6 * time.Second
 	// initialRetry is the delay after a failed read while no view is known and no request can be served.
 	initialRetry = 100 * time.Millisecond
-	// minRetry is the delay after the first failed read; the second and the third in a row double it, up to the interval. It is half
-	// of the shortest interval.
+	// minRetry is the delay after the first failed read; the second and the third in a row double it, up to the interval and maxRetry. It is
+	// half of the shortest interval.
 	minRetry = 250 * time.Millisecond
+	// maxRetry keeps the grace period of an instance that was cut off from starting so late that it ends more than 4 s after the cut, when the
+	// instance counts as undisturbed.
+	maxRetry = 700 * time.Millisecond
 	// maxGapIntervals is the number of intervals, in addition to half of changesTimeout, without a successful read after which the gap
 	// is treated like an outage of the store.
 	maxGapIntervals = 3
@@ -48,8 +51,9 @@
 type Source interface {
 	// Read returns all items.
 	Read(ctx context.Context) (change.Batch, error)
-	// ReadSince returns the changes after a revision, or *change.CompactedError if they are no longer available.
-	ReadSince(ctx context.Context, revision int64) (change.Batch, error)
+	// ReadSince returns the changes after a revision, or *change.CompactedError if they are no longer available. If mayWait is true, another
+	// instance may hold the call until there are changes.
+	ReadSince(ctx context.Context, revision int64, mayWait bool) (change.Batch, error)
 	// Reset closes the idle connections, which may be stalled.
 	Reset()
 }
@@ -68,6 +72,7 @@
 	// reportInterval is the interval between two reports of an upstream, in nanoseconds; 0 if unknown.
 	reportInterval atomic.Int64
 	invalid        invalidItems
+	jitter         func(n time.Duration) time.Duration
 
 	mu     sync.Mutex // for changes of the state and calls of onView
 	state  *state.State
@@ -85,6 +90,13 @@
 // WithCounter calls count with the name of the metric to increment for each read and failure.
 func WithCounter(count func(name string)) Option { return func(f *Follower) { f.count = count } }
 
+// WithRand draws the jitter of retries from rng, so that a simulation can be repeated.
+func WithRand(rng *rand.Rand) Option {
+	return func(f *Follower) {
+		f.jitter = func(n time.Duration) time.Duration { return time.Duration(rng.Int64N(int64(n))) }
+	}
+}
+
 // New returns a follower that reads s at the given interval.
 func New(s Source, interval time.Duration, log *zap.Logger, options ...Option) *Follower {
 	f := &Follower{
@@ -93,6 +105,7 @@
 		log:      log,
 		onView:   func(*state.View) {},
 		count:    func(string) {},
+		jitter:   rand.N[time.Duration],
 		state:    state.New(gracePeriod(interval)),
 		started:  time.Now(),
 	}
@@ -175,7 +188,7 @@
 		ctx, cancel := context.WithTimeout(ctx, changesTimeout)
 		defer cancel()
 		f.count(`crocuswing_store_reads_total{kind="changes"}`)
-		batch, err := f.source.ReadSince(ctx, f.View().Revision)
+		batch, err := f.source.ReadSince(ctx, f.View().Revision, f.mayWait())
 		var compacted *change.CompactedError
 		if !errors.As(err, &compacted) {
 			return batch, err
@@ -188,6 +201,13 @@
 	return f.source.Read(ctx)
 }
 
+// mayWait reports whether the next read may be held until there are changes. After a gap, and after an answer from before a pause of this
+// process, it may not: the gap would only be noticed, and the grace period only start, when the held read ends.
+func (f *Follower) mayWait() bool {
+	age, ok := f.Age()
+	return ok && f.failures == 0 && age <= maxGapIntervals*f.interval
+}
+
 // recordSuccess resets the failure count and, after an outage of the store, starts the grace period.
 func (f *Follower) recordSuccess(now time.Time) {
 	age, _ := f.Age()
@@ -233,11 +253,11 @@
 		age, _ := f.Age()
 		f.log.Warn("store lost", zap.Error(err), zap.Int64("revision", f.View().Revision), zap.Duration("age", age))
 	}
-	wait := min(minRetry<<min(f.failures-1, 2), f.interval)
+	wait := min(minRetry<<min(f.failures-1, 2), f.interval, maxRetry)
 	if !f.hasView {
 		wait = initialRetry
 	}
-	return wait/2 + rand.N(wait/2+1)
+	return wait/2 + f.jitter(wait/2+1)
 }
 
 // notify counts the rejected changes, logs those that cannot be decoded, and passes the new view to the observer.
--- a/internal/published/relay/model_test.go
+++ b/internal/published/relay/model_test.go
@@ -17,7 +17,7 @@
 	// maxDisturbance is the longest freeze, cut or outage.
 	maxDisturbance = 6 * time.Second
 	// modelSeeds is the number of histories.
-	modelSeeds = 20
+	modelSeeds = 100
 	// maxColdTime is the longest cold time of an upstream.
 	maxColdTime = 8 * time.Second
 )
@@ -261,7 +261,7 @@
 // removed, drained and registered, that nothing that was removed comes back without a new report, and that all views agree in the end.
 func TestRandomHistories(t *testing.T) {
 	for seed := range uint64(modelSeeds) {
-		runFreezable(t, 6, func(t *testing.T, c *freezableFleet, ranked []*freezable) {
+		runFreezableSeed(t, 6, seed, func(t *testing.T, c *freezableFleet, ranked []*freezable) {
 			h := &randomHistory{
 				T: t, freezableFleet: c, rng: rand.New(rand.NewPCG(seed, 1)), ranked: ranked, writes: make(map[string]lastWrite), next: 10,
 				disturbed: make(map[string]time.Time), dropped: make(map[string]map[string]registration.Registration),
--- a/internal/published/relay/outage_test.go
+++ b/internal/published/relay/outage_test.go
@@ -19,6 +19,7 @@
 	"crocuswing/internal/published/follower"
 	"crocuswing/internal/published/registration"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 )
@@ -129,6 +130,7 @@
 	*freezableFleet
 	name    string
 	process atomic.Pointer[process]
+	starts  uint64
 
 	mu     sync.Mutex
 	thawed chan struct{} // closed unless the instance is frozen
@@ -144,7 +146,9 @@
 // start starts the instance anew. A process that ran before ends with all that it knows.
 func (n *freezable) start() {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := follower.New(New(n, n, func(string) {}), interval, zap.NewNop())
+	n.starts++
+	rng := rand.New(rand.NewPCG(n.seed, xxhash.Sum64String(n.name)+n.starts))
+	f := follower.New(New(n, n, func(string) {}), interval, zap.NewNop(), follower.WithRand(rng))
 	f.SetReportInterval(reportInterval)
 	old := n.process.Swap(&process{follow: f, handler: Handler(f), stop: cancel})
 	if old != nil {
@@ -161,6 +165,7 @@
 // freezableFleet is a set of instances with a common store.
 type freezableFleet struct {
 	*registry
+	seed      uint64 // of the jitter
 	instances map[string]*freezable
 	fleet     *fleet // carries the calls between the instances
 	running   sync.WaitGroup
@@ -195,9 +200,9 @@
 	}
 }
 
-func (n *freezable) Read(ctx context.Context) (change.Batch, error) { return n.ReadSince(ctx, 0) }
+func (n *freezable) Read(ctx context.Context) (change.Batch, error) { return n.ReadSince(ctx, 0, false) }
 
-func (n *freezable) ReadSince(_ context.Context, after int64) (change.Batch, error) {
+func (n *freezable) ReadSince(_ context.Context, after int64, _ bool) (change.Batch, error) {
 	const latency = 4 * time.Millisecond
 	n.await(context.Background())
 	time.Sleep(latency)
@@ -243,8 +248,14 @@
 
 // runFreezable starts n instances and upstreams "0" to "9", lets them run for 5 s and calls test with the instances in the order of the tree.
 func runFreezable(t *testing.T, n int, test func(t *testing.T, c *freezableFleet, ranked []*freezable)) {
+	runFreezableSeed(t, n, 0, test)
+}
+
+// runFreezableSeed is like runFreezable with a seed of the jitter of retries.
+func runFreezableSeed(t *testing.T, n int, seed uint64, test func(t *testing.T, c *freezableFleet, ranked []*freezable)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &freezableFleet{
+			seed:     seed,
 			registry: &registry{items: make(map[string]written), unavailable: make(map[string]bool)}, instances: make(map[string]*freezable),
 			fleet: &fleet{instances: make(map[string]*instance), down: make(map[string]bool)},
 		}
--- a/internal/published/relay/relay.go
+++ b/internal/published/relay/relay.go
@@ -78,6 +78,8 @@
 // request asks for the changes after a revision.
 type request struct {
 	Revision int64 `msgpack:"r"`
+	// Now asks for an answer at once, also without changes. Instances of former releases ignore it.
+	Now bool `msgpack:"n,omitempty"`
 }
 
 // reply holds the changes after the revision of a request. The store confirmed them AgeMS ago.
@@ -105,16 +107,17 @@
 }
 
 // ReadSince returns the changes after a revision from the nearest ancestor, else from the store, else from another instance.
-func (r *Relay) ReadSince(ctx context.Context, revision int64) (change.Batch, error) {
+func (r *Relay) ReadSince(ctx context.Context, revision int64, mayWait bool) (change.Batch, error) {
+	q := request{Revision: revision, Now: !mayWait}
 	preferred, others := r.rankPeers()
-	if b, ok := r.fetchFromPreferred(ctx, preferred, revision); ok {
+	if b, ok := r.fetchFromPreferred(ctx, preferred, q); ok {
 		return b, nil
 	}
-	batch, err := r.Store.ReadSince(ctx, revision)
+	batch, err := r.Store.ReadSince(ctx, revision, mayWait)
 	if err == nil || isCompacted(err) {
 		return batch, err
 	}
-	if b, ok := r.fetchFromOthers(ctx, others, revision); ok {
+	if b, ok := r.fetchFromOthers(ctx, others, q); ok {
 		return b, nil
 	}
 	return change.Batch{}, err
@@ -127,7 +130,7 @@
 		return change.Batch{}, ctx.Err()
 	}
 	preferred, others := r.rankPeers()
-	if b, ok := r.fetchFromPreferred(ctx, preferred, 0); ok {
+	if b, ok := r.fetchFromPreferred(ctx, preferred, request{}); ok {
 		return b, nil
 	}
 	if len(preferred) > 0 && !r.allowFullRead() {
@@ -137,7 +140,7 @@
 	if err == nil {
 		return batch, nil
 	}
-	if b, ok := r.fetchFromOthers(ctx, append(preferred, others...), 0); ok {
+	if b, ok := r.fetchFromOthers(ctx, append(preferred, others...), request{}); ok {
 		return b, nil
 	}
 	return change.Batch{}, err
@@ -145,10 +148,10 @@
 
 // fetchFromPreferred calls the first preferred instance that is not avoided. If that fails, the next one is called only on the next
 // read: it may itself be waiting for the failed one, and two timeouts in a row take too long.
-func (r *Relay) fetchFromPreferred(ctx context.Context, preferred []membership.Member, revision int64) (change.Batch, bool) {
+func (r *Relay) fetchFromPreferred(ctx context.Context, preferred []membership.Member, q request) (change.Batch, bool) {
 	for _, m := range preferred {
 		if !r.isAvoided(m.Address) {
-			b, err := r.fetch(ctx, m, revision)
+			b, err := r.fetch(ctx, m, q)
 			return b, err == nil
 		}
 	}
@@ -187,7 +190,7 @@
 
 // fetchFromOthers calls up to fallbackPeers instances. Each instance starts at another position, so that instances that lost the
 // store together do not all call the same ones.
-func (r *Relay) fetchFromOthers(ctx context.Context, peers []membership.Member, revision int64) (change.Batch, bool) {
+func (r *Relay) fetchFromOthers(ctx context.Context, peers []membership.Member, q request) (change.Batch, bool) {
 	if len(peers) == 0 {
 		return change.Batch{}, false
 	}
@@ -204,7 +207,7 @@
 			continue
 		}
 		calls++
-		if b, err := r.fetch(ctx, m, revision); err == nil {
+		if b, err := r.fetch(ctx, m, q); err == nil {
 			return b, true
 		}
 	}
@@ -241,13 +244,13 @@
 	return preferred, others
 }
 
-// fetch returns the changes after a revision from another instance.
-func (r *Relay) fetch(ctx context.Context, m membership.Member, revision int64) (change.Batch, error) {
+// fetch gets the answer of another instance.
+func (r *Relay) fetch(ctx context.Context, m membership.Member, q request) (change.Batch, error) {
 	r.count(`crocuswing_store_reads_total{kind="relayed"}`)
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout+callMargin)
 	defer cancel()
 	var got reply
-	err := r.members.Call(callCtx, m.Address, Method, request{Revision: revision}, &got)
+	err := r.members.Call(callCtx, m.Address, Method, q, &got)
 	age := time.Duration(got.AgeMS) * time.Millisecond
 	if err == nil && age > maxAge {
 		err = &StaleError{Address: m.Address, Age: age}
@@ -306,7 +309,11 @@
 			return nil, errors.New("nothing is known yet")
 		}
 		// When the state reaches maxAge, the call is answered without waiting further, so that the other instance uses another source.
-		waitCtx, cancel := context.WithTimeout(ctx, min(pollTimeout, maxAge-age))
+		hold := min(pollTimeout, maxAge-age)
+		if req.Now {
+			hold = 0
+		}
+		waitCtx, cancel := context.WithTimeout(ctx, hold)
 		defer cancel()
 		u := s.Await(waitCtx, req.Revision)
 		age, _ = s.Age()
--- a/internal/published/relay/relay_test.go
+++ b/internal/published/relay/relay_test.go
@@ -54,7 +54,7 @@
 	return b, nil
 }
 
-func (c storeClient) ReadSince(ctx context.Context, _ int64) (change.Batch, error) {
+func (c storeClient) ReadSince(ctx context.Context, _ int64, _ bool) (change.Batch, error) {
 	return c.Read(ctx)
 }
 func (storeClient) Reset() {}
