fix(workspace): a refusal without a wait is relied on for a millisecond

TestSumUnderBound did not end in 500 s: a lender whose next permission was due within a fraction of a nanosecond said 0, and an instance that was its own lender asked itself without end.

--- a/internal/workspace/borrower/borrower.go
+++ b/internal/workspace/borrower/borrower.go
@@ -16,6 +16,9 @@
 const (
 	// maxDenial is the longest time for which the word of a lender is relied on that it will have no permission. The limit may be raised.
 	maxDenial = time.Second
+	// minDenial is the shortest. A lender whose next permission was due within less than a nanosecond said 0, and an instance that was its
+	// own lender asked without end.
+	minDenial = time.Millisecond
 	// notLendingTime is the time after which an instance is asked again that did not lend yet or any more.
 	notLendingTime = 250 * time.Millisecond
 	// A lender that did not respond is asked again after minAvoidance; the time doubles with each further miss up to maxAvoidance.
@@ -157,6 +160,7 @@
 
 // Denied records that a lender has no permission and expects one after wait.
 func (b *Borrower) Denied(now time.Time, m roster.Member, wait time.Duration) {
+	wait = max(wait, minDenial)
 	*b.lender(m) = lender{deniedUntil: now.Add(min(wait, maxDenial)), nextAt: now.Add(wait)}
 	b.lastGrant = 0
 }
--- a/internal/workspace/borrower/borrower_test.go
+++ b/internal/workspace/borrower/borrower_test.go
@@ -44,6 +44,16 @@
 	require.True(t, b.Decide(now, plan, fleet, 0).IsLenderLost)
 }
 
+// TestDenialWithoutWait checks that a lender that refuses and expects a permission at once is not asked again at the same time.
+func TestDenialWithoutWait(t *testing.T) {
+	b, now := New(), time.Now()
+	f := Fleet{Lenders: []roster.Member{one}}
+	require.Equal(t, Ask, b.Decide(now, plan, f, 0).Action)
+	b.Denied(now, one, 0)
+	require.Equal(t, Refuse, b.Decide(now, plan, f, 0).Action)
+	require.Equal(t, Ask, b.Decide(now.Add(minDenial), plan, f, 0).Action)
+}
+
 // TestLoanEnds checks that a loan ends by either clock, counted from when it was asked for, and that it cannot be given back later.
 func TestLoanEnds(t *testing.T) {
 	now := time.Now()
