fix(workspace): an instance that reaches nobody is not the whole fleet

TestSumUnderBound (400 checks at 4 instances): 83 requests in a window of 82.5 permitted, an instance that started cut off from the others lent the whole quota. It waits for others now if its settings name seeds.

--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -109,7 +109,7 @@
 	g.follower.SetReportInterval(s.ReportInterval)
 	g.membership.SetFailureDomain(s.FailureDomain)
 	g.aggregators = aggregator.New(g.membership, s.Regions)
-	g.quotas = g.newQuotas(s.Bounds)
+	g.quotas = g.newQuotas(s)
 	g.runner = runner.New(p.Protocol, g.catalog, g.follower, latencyHistory, g.metrics, g.log, runner.WithLimiter(g.subrequests),
 		runner.WithAggregators(s.Region, g.aggregators), runner.WithQuotas(g.quotas))
 	g.applyWorkspaceBounds(s.Bounds)
--- a/internal/serve/gateway/workspaces.go
+++ b/internal/serve/gateway/workspaces.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"slices"
+
 	"crocuswing/internal/settings/deployment"
 	"crocuswing/internal/workspace/directory"
 	"crocuswing/internal/workspace/enforcer"
@@ -9,8 +11,12 @@
 )
 
 // newQuotas returns the keeper of the quotas of workspaces, which is the same for all instances.
-func (g *Gateway) newQuotas(b deployment.Bounds) *enforcer.Enforcer {
-	return enforcer.New(g.membership, quotaRule(b), currentWorkspaces{g}, g.log, enforcer.WithCounter(g.metrics.Count))
+func (g *Gateway) newQuotas(s deployment.Settings) *enforcer.Enforcer {
+	options := []enforcer.Option{enforcer.WithCounter(g.metrics.Count)}
+	if slices.ContainsFunc(s.Seeds, func(seed string) bool { return seed != s.PeerAddress }) {
+		options = append(options, enforcer.WithExpectedOthers())
+	}
+	return enforcer.New(g.membership, quotaRule(s.Bounds), currentWorkspaces{g}, g.log, options...)
 }
 
 // applyWorkspaceBounds sets the bounds on the requests of workspaces.
--- a/internal/workspace/enforcer/enforcer.go
+++ b/internal/workspace/enforcer/enforcer.go
@@ -87,6 +87,9 @@
 // WithCounter calls count with the name of the metric to increment.
 func WithCounter(count func(name string)) Option { return func(e *Enforcer) { e.count = count } }
 
+// WithExpectedOthers tells that the settings name other instances. An instance that reaches none of them does not lend for a while.
+func WithExpectedOthers() Option { return func(e *Enforcer) { e.roster.ExpectOthers() } }
+
 // New returns an Enforcer that keeps the rule for the workspaces w together with the instances of m.
 func New(m Members, rule quota.Rule, w Workspaces, log *zap.Logger, options ...Option) *Enforcer {
 	e := &Enforcer{
--- a/internal/workspace/roster/roster.go
+++ b/internal/workspace/roster/roster.go
@@ -54,6 +54,8 @@
 	reported      int       // the largest number of instances that another one knew lately
 	reportedAt    time.Time
 	version       uint64
+	// expectsOthers reports that the settings name other instances. One that reaches none of them is not known to be alone.
+	expectsOthers bool
 }
 
 // New returns the Roster of the instance name that has just started.
@@ -64,6 +66,9 @@
 	}
 }
 
+// ExpectOthers makes the instance wait for others before it takes itself for the whole fleet.
+func (r *Roster) ExpectOthers() { r.expectsOthers = true }
+
 // CheckSuspension reports whether this instance was suspended, by either clock. Then it knows neither the fleet nor what it has lent, as
 // after a start.
 func (r *Roster) CheckSuspension(now time.Time) bool {
@@ -136,7 +141,10 @@
 // settle decides whether the fleet is known.
 func (r *Roster) settle(now time.Time) {
 	age := minAge
-	if len(r.others) == 0 {
+	switch {
+	case len(r.others) == 0 && r.expectsOthers:
+		age = memory
+	case len(r.others) == 0:
 		age = minAgeAlone
 	}
 	if r.settledAt.IsZero() && now.Sub(r.started) >= age && now.Sub(r.addedAt) >= quietTime &&
--- a/internal/workspace/roster/roster_test.go
+++ b/internal/workspace/roster/roster_test.go
@@ -108,6 +108,22 @@
 	require.InDelta(t, 1, r.Share(now), 0)
 }
 
+// TestAlone checks that an instance that reaches nobody counts as the whole fleet only if no others are expected.
+func TestAlone(t *testing.T) {
+	for _, expects := range []bool{false, true} {
+		now := time.Now()
+		r := New("i-0", now)
+		if expects {
+			r.ExpectOthers()
+		}
+		for range 20 {
+			now = now.Add(time.Second)
+			r.Update(now, nil)
+		}
+		require.Equal(t, !expects, r.IsSettled())
+	}
+}
+
 // TestGainedSlot checks that the place of an instance that is gone is taken Handover after it was missed.
 func TestGainedSlot(t *testing.T) {
 	start := time.Now()
