feat(published): the order of what is known is era and revision

Cause: after the store had come back from an older copy, revisions went back and were given out again. A listing of a lower revision was not taken, so that an instance followed nothing or kept what was removed.

The first listing of a later era replaces what is known only by what is newer in itself; what the copy lacks is kept for the grace period. Answers of an earlier era are refused.

Before, TestStoreComesBackOlder: map[x:true] should not contain 'x' after its removal.

--- a/internal/published/change/change.go
+++ b/internal/published/change/change.go
@@ -3,6 +3,8 @@
 package change
 
 import (
+	"cmp"
+	"errors"
 	"fmt"
 	"time"
 
@@ -44,13 +46,24 @@
 	Err error
 }
 
+// Position is a point in the history of the store. The store counts an era each time it comes back from an older copy of itself; revisions
+// are then given out again, so that they have an order only within an era. The zero Position precedes all others.
+type Position struct {
+	// Era is 0 if the store does not state it.
+	Era, Revision int64
+}
+
+// Compare returns a negative number if p precedes o, 0 if they are equal, and a positive number otherwise.
+func (p Position) Compare(o Position) int {
+	return cmp.Or(cmp.Compare(p.Era, o.Era), cmp.Compare(p.Revision, o.Revision))
+}
+
 // Batch is the result of one read.
 type Batch struct {
 	// Full reports that Changes lists all existing items, so that unlisted items do not exist.
 	Full bool
-	// Revision is the revision of the store.
-	Revision int64
-	Changes  []Change
+	Position
+	Changes []Change
 	// Relayed reports that another instance answered. It does so only when it has changes or when the poll has timed out, so the
 	// next read need not wait for the polling interval.
 	Relayed bool
@@ -65,3 +78,22 @@
 func (e *CompactedError) Error() string {
 	return fmt.Sprintf("history after revision %d is compacted", e.Revision)
 }
+
+// NeedsListing reports whether err says that the changes after a position are not available, so that everything has to be read.
+func NeedsListing(err error) bool {
+	var compacted *CompactedError
+	var era *EraError
+	return errors.As(err, &compacted) || (errors.As(err, &era) && era.IsNewer())
+}
+
+// EraError reports an answer of another era than the known one.
+type EraError struct{ Known, Got int64 }
+
+// Error implements the error interface.
+func (e *EraError) Error() string {
+	return fmt.Sprintf("answer is of era %d of the store, want %d", e.Got, e.Known)
+}
+
+// IsNewer reports whether the answer is of a later era, so that everything has to be read anew. Otherwise it is late or of a store that is
+// behind, and useless.
+func (e *EraError) IsNewer() bool { return e.Got > e.Known }
--- a/internal/published/follower/follower.go
+++ b/internal/published/follower/follower.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -51,9 +50,9 @@
 type Source interface {
 	// Read returns all items.
 	Read(ctx context.Context) (change.Batch, error)
-	// ReadSince returns the changes after a revision, or *change.CompactedError if they are no longer available. If mayWait is true, another
-	// instance may hold the call until there are changes.
-	ReadSince(ctx context.Context, revision int64, mayWait bool) (change.Batch, error)
+	// ReadSince returns the changes after a position, or *change.CompactedError or *change.EraError if they are not available. If mayWait is
+	// true, another instance may hold the call until there are changes.
+	ReadSince(ctx context.Context, after change.Position, mayWait bool) (change.Batch, error)
 	// Reset closes the idle connections, which may be stalled.
 	Reset()
 }
@@ -67,16 +66,17 @@
 	count     func(name string)
 	confirmed atomic.Int64 // when the store last confirmed the view, in nanoseconds since started
 	started   time.Time
-	failures  int
 	hasView   bool
 	// reportInterval is the interval between two reports of an upstream, in nanoseconds; 0 if unknown.
 	reportInterval atomic.Int64
 	invalid        invalidItems
 	jitter         func(n time.Duration) time.Duration
 
-	mu     sync.Mutex // for changes of the state and calls of onView
-	state  *state.State
-	expiry *time.Timer // calls removeExpired at the end of the grace period
+	mu         sync.Mutex // for changes of the state and calls of onView
+	state      *state.State
+	failures   int // failed reads since the last successful one
+	graceUntil time.Time
+	expiry     *time.Timer // calls removeExpired at the end of the grace period
 }
 
 // Option configures a Follower.
@@ -122,11 +122,14 @@
 // SetReportInterval sets the interval at which upstreams report to the store.
 func (f *Follower) SetReportInterval(d time.Duration) { f.reportInterval.Store(int64(d)) }
 
-// Await returns the changes after a revision as soon as there are any, or an update without items when ctx ends.
-func (f *Follower) Await(ctx context.Context, revision int64) state.Update {
-	return f.state.Await(ctx, revision)
+// Await returns the changes after a position as soon as there are any, or an update without items when ctx ends.
+func (f *Follower) Await(ctx context.Context, after change.Position) state.Update {
+	return f.state.Await(ctx, after)
 }
 
+// Position returns the position of the current view.
+func (f *Follower) Position() change.Position { return f.View().Position }
+
 // View returns the current view.
 func (f *Follower) View() *state.View { return f.state.View() }
 
@@ -167,13 +170,23 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	known := f.Position()
+	if batch.Era == 0 {
+		batch.Era = known.Era // an older build of the store, or a proxy, does not state it
+	}
+	if batch.Era < known.Era {
+		return false, &change.EraError{Known: known.Era, Got: batch.Era}
+	}
 	f.recordSuccess(now)
+	if f.hasView && batch.Era > known.Era {
+		f.beginEra(batch, now)
+	}
 	confirmed := started
 	if batch.Relayed {
 		confirmed = now.Add(-batch.Age - maxTransit)
 	}
 	f.confirmed.Store(max(f.confirmed.Load(), 1, int64(confirmed.Sub(f.started))))
-	if !batch.Full && batch.Revision <= f.View().Revision && len(batch.Changes) == 0 {
+	if !batch.Full && batch.Compare(known) <= 0 && len(batch.Changes) == 0 {
 		return batch.Relayed, nil
 	}
 	v, rejected := f.state.Apply(batch, now)
@@ -188,12 +201,12 @@
 		ctx, cancel := context.WithTimeout(ctx, changesTimeout)
 		defer cancel()
 		f.count(`crocuswing_store_reads_total{kind="changes"}`)
-		batch, err := f.source.ReadSince(ctx, f.View().Revision, f.mayWait())
-		var compacted *change.CompactedError
-		if !errors.As(err, &compacted) {
+		known := f.Position()
+		batch, err := f.source.ReadSince(ctx, known, f.mayWait())
+		if !change.NeedsListing(err) {
 			return batch, err
 		}
-		f.log.Warn("history is compacted, reading everything", zap.Int64("after-revision", compacted.Revision))
+		f.log.Warn("history is not available, reading everything", zap.Error(err), zap.Int64("era", known.Era), zap.Int64("revision", known.Revision))
 	}
 	ctx, cancel := context.WithTimeout(ctx, fullTimeout)
 	defer cancel()
@@ -204,6 +217,8 @@
 // mayWait reports whether the next read may be held until there are changes. After a gap, and after an answer from before a pause of this
 // process, it may not: the gap would only be noticed, and the grace period only start, when the held read ends.
 func (f *Follower) mayWait() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	age, ok := f.Age()
 	return ok && f.failures == 0 && age <= maxGapIntervals*f.interval
 }
@@ -215,17 +230,40 @@
 	if f.failures > 0 || isOutage {
 		f.log.Info("store regained", zap.Int("failed-reads", f.failures), zap.Duration("silent-for", age), zap.Bool("grace-period", isOutage))
 	}
-	if isOutage {
+	switch {
+	case isOutage:
 		f.state.StoreRecovered(now)
-		f.expiry.Reset(gracePeriod(f.interval))
+		f.beginGracePeriod(now)
+	case f.failures > 0:
+		f.expiry.Reset(f.graceUntil.Sub(now)) // it may have ended meanwhile
 	}
 	f.failures = 0
 }
 
-// removeExpired removes the upstreams that have not registered again within the grace period.
+func (f *Follower) beginGracePeriod(now time.Time) {
+	f.graceUntil = now.Add(gracePeriod(f.interval))
+	f.expiry.Reset(gracePeriod(f.interval))
+}
+
+// beginEra records that the store has come back from an older copy of itself. What the copy lacks is kept for the grace period, in which it
+// may be written again.
+func (f *Follower) beginEra(b change.Batch, now time.Time) {
+	known := f.Position()
+	f.log.Warn("store came back from an older copy", zap.Int64("era", b.Era), zap.Int64("revision", b.Revision), zap.Int64("former-era", known.Era),
+		zap.Int64("former-revision", known.Revision), zap.Bool("relayed", b.Relayed), zap.Int("items", len(b.Changes)))
+	f.count("crocuswing_store_eras_total")
+	f.state.BeginEra(now)
+	f.beginGracePeriod(now)
+}
+
+// removeExpired removes the upstreams that have not registered again within the grace period. While reads fail it waits for the next answer,
+// which may bring registrations that were written before the failure.
 func (f *Follower) removeExpired() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.failures > 0 {
+		return
+	}
 	if v := f.state.RemoveExpired(time.Now()); v != nil {
 		f.notify(v, nil)
 	}
@@ -246,12 +284,14 @@
 
 // recordFailure counts a failed read and returns the delay before the next one, with jitter to spread the instances.
 func (f *Follower) recordFailure(err error) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.failures++
 	f.count("crocuswing_store_failures_total")
 	f.source.Reset()
 	if f.failures == 1 {
 		age, _ := f.Age()
-		f.log.Warn("store lost", zap.Error(err), zap.Int64("revision", f.View().Revision), zap.Duration("age", age))
+		f.log.Warn("store lost", zap.Error(err), zap.Int64("era", f.Position().Era), zap.Int64("revision", f.Position().Revision), zap.Duration("age", age))
 	}
 	wait := min(minRetry<<min(f.failures-1, 2), f.interval, maxRetry)
 	if !f.hasView {
--- a/internal/published/relay/relay.go
+++ b/internal/published/relay/relay.go
@@ -78,6 +78,8 @@
 // request asks for the changes after a revision.
 type request struct {
 	Revision int64 `msgpack:"r"`
+	// Era is the era of Revision. Instances of former releases ignore it and do not send it.
+	Era int64 `msgpack:"e,omitempty"`
 	// Now asks for an answer at once, also without changes. Instances of former releases ignore it.
 	Now bool `msgpack:"n,omitempty"`
 }
@@ -86,8 +88,21 @@
 type reply struct {
 	Full     bool          `msgpack:"w,omitempty"`
 	Revision int64         `msgpack:"r"`
+	Era      int64         `msgpack:"e,omitempty"`
 	Items    []change.Item `msgpack:"i,omitempty"`
 	AgeMS    int64         `msgpack:"a"`
+	// HeldMS is the time from the arrival of the request to the reply, rounded up. Instances of former releases do not send it.
+	HeldMS int64 `msgpack:"h,omitempty"`
+}
+
+// ageAfter returns the age of the reply when the call has taken elapsed. The time on the way counts as age, since a caller that was paused
+// meanwhile gets an old reply late.
+func (r *reply) ageAfter(elapsed time.Duration) time.Duration {
+	held := pollTimeout + callMargin
+	if r.HeldMS > 0 {
+		held = time.Duration(r.HeldMS-1) * time.Millisecond
+	}
+	return time.Duration(r.AgeMS)*time.Millisecond + max(0, elapsed-held)
 }
 
 // StaleError reports that the state of another instance is too old.
@@ -106,15 +121,15 @@
 	return &Relay{Store: s, members: m, count: count, avoided: make(map[string]time.Time)}
 }
 
-// ReadSince returns the changes after a revision from the nearest ancestor, else from the store, else from another instance.
-func (r *Relay) ReadSince(ctx context.Context, revision int64, mayWait bool) (change.Batch, error) {
-	q := request{Revision: revision, Now: !mayWait}
+// ReadSince returns the changes after a position from the nearest ancestor, else from the store, else from another instance.
+func (r *Relay) ReadSince(ctx context.Context, after change.Position, mayWait bool) (change.Batch, error) {
+	q := request{Revision: after.Revision, Era: after.Era, Now: !mayWait}
 	preferred, others := r.rankPeers()
 	if b, ok := r.fetchFromPreferred(ctx, preferred, q); ok {
 		return b, nil
 	}
-	batch, err := r.Store.ReadSince(ctx, revision, mayWait)
-	if err == nil || isCompacted(err) {
+	batch, err := r.Store.ReadSince(ctx, after, mayWait)
+	if err == nil || change.NeedsListing(err) {
 		return batch, err
 	}
 	if b, ok := r.fetchFromOthers(ctx, others, q); ok {
@@ -183,11 +198,6 @@
 	return true
 }
 
-func isCompacted(err error) bool {
-	var compacted *change.CompactedError
-	return errors.As(err, &compacted)
-}
-
 // fetchFromOthers calls up to fallbackPeers instances. Each instance starts at another position, so that instances that lost the
 // store together do not all call the same ones.
 func (r *Relay) fetchFromOthers(ctx context.Context, peers []membership.Member, q request) (change.Batch, bool) {
@@ -250,20 +260,28 @@
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout+callMargin)
 	defer cancel()
 	var got reply
+	started := time.Now()
 	err := r.members.Call(callCtx, m.Address, Method, q, &got)
-	age := time.Duration(got.AgeMS) * time.Millisecond
+	age := got.ageAfter(time.Since(started))
 	if err == nil && age > maxAge {
 		err = &StaleError{Address: m.Address, Age: age}
+		if got.ageAfter(0) <= maxAge {
+			return change.Batch{}, err // not avoided: this instance was paused
+		}
+	}
+	if err == nil && got.Era < q.Era {
+		// Not avoided: an instance that has not noticed yet that the store came back will do so soon. One of a former release states no era.
+		return change.Batch{}, &change.EraError{Known: q.Era, Got: got.Era}
 	}
 	var refused *client.RefusedError
 	if errors.As(err, &refused) {
-		return change.Batch{}, err // not avoided: the instance is up but has no state yet
+		return change.Batch{}, err // not avoided: the instance is up but has no state yet, or one of an older era
 	}
 	if err != nil {
 		r.avoid(m.Address)
 		return change.Batch{}, err
 	}
-	b := change.Batch{Full: got.Full, Revision: got.Revision, Relayed: true, Age: age}
+	b := change.Batch{Full: got.Full, Position: change.Position{Era: got.Era, Revision: got.Revision}, Relayed: true, Age: age}
 	for _, item := range got.Items {
 		if c, ok := r.Decode(item); ok {
 			b.Changes = append(b.Changes, c)
@@ -292,7 +310,9 @@
 
 // UpdateSource provides this instance's state to other instances.
 type UpdateSource interface {
-	Await(ctx context.Context, revision int64) state.Update
+	Await(ctx context.Context, after change.Position) state.Update
+	// Position returns the position of the state.
+	Position() change.Position
 	// Age returns the time since the store confirmed the state, and false if it never did.
 	Age() (time.Duration, bool)
 }
@@ -308,15 +328,23 @@
 		if !ok {
 			return nil, errors.New("nothing is known yet")
 		}
+		after := change.Position{Era: req.Era, Revision: req.Revision}
+		switch position := s.Position(); {
+		case req.Era == 0:
+			after.Era = position.Era // the other instance is of a former release, or has read a store that states no era
+		case position.Era < req.Era:
+			return nil, &change.EraError{Known: req.Era, Got: position.Era}
+		}
 		// When the state reaches maxAge, the call is answered without waiting further, so that the other instance uses another source.
+		arrived := time.Now()
 		hold := min(pollTimeout, maxAge-age)
 		if req.Now {
 			hold = 0
 		}
 		waitCtx, cancel := context.WithTimeout(ctx, hold)
 		defer cancel()
-		u := s.Await(waitCtx, req.Revision)
+		u := s.Await(waitCtx, after)
 		age, _ = s.Age()
-		return reply{Full: u.Full, Revision: u.Revision, Items: u.Items, AgeMS: age.Milliseconds() + 1}, nil
+		return reply{Full: u.Full, Revision: u.Revision, Era: u.Era, Items: u.Items, AgeMS: age.Milliseconds() + 1, HeldMS: time.Since(arrived).Milliseconds() + 1}, nil
 	}
 }
--- a/internal/published/state/state.go
+++ b/internal/published/state/state.go
@@ -23,8 +23,8 @@
 	Upstreams map[string]registration.Registration
 	// ExcludedDomains is the set of failure domains that receive no work.
 	ExcludedDomains map[string]bool
-	// Revision is the revision of the store.
-	Revision int64
+	// Position is the era and the revision of the store.
+	change.Position
 	// Changed lists the upstreams that differ from the previous view.
 	Changed []string
 }
@@ -35,10 +35,13 @@
 	// gracePeriod is how long upstreams may take to register again after an outage of the store.
 	gracePeriod     time.Duration
 	graceUntil      time.Time
-	revision        int64
+	position        change.Position
 	table           *table.Table
 	excludedDomains map[string]bool
-	upstreams       map[string]*upstream
+	// missingDomains are those of excludedDomains that a new era of the store lacks. They are readmitted at graceUntil unless they are
+	// excluded again.
+	missingDomains map[string]bool
+	upstreams      map[string]*upstream
 
 	mu         sync.Mutex
 	view       *View
@@ -47,7 +50,7 @@
 	changed    chan struct{}    // closed by the next publish
 }
 
-// boundary is the revision of an applied batch. The entries hold all changes since it, but not those since a revision between two
+// boundary is the revision of an applied batch of the present era. The entries hold all changes since it, but not those since a revision between two
 // boundaries: another instance that has read the store at that revision may know items that were written and removed, or removed and
 // written again, before the next batch of this one.
 type boundary struct {
@@ -55,12 +58,12 @@
 	supersededAt time.Time // zero for the newest
 }
 
-// entry is an item together with the highest revision at which it can have been written or removed.
+// entry is an item together with the highest position at which it can have been written or removed.
 type entry struct {
 	change.Item
 	kind     change.Kind
 	name     string
-	revision int64
+	position change.Position
 	at       time.Time // when it was recorded
 }
 
@@ -68,7 +71,8 @@
 	registration.Registration
 	removed        bool
 	removedAt      time.Time
-	pendingRemoval bool // removed from the store, but may register again until graceUntil
+	removedEra     int64 // of the store
+	pendingRemoval bool  // removed from the store, but may register again until graceUntil
 }
 
 // New returns an empty State. gracePeriod is the time upstreams may take to register again after an outage of the store.
@@ -76,6 +80,7 @@
 	return &State{
 		gracePeriod:     gracePeriod,
 		excludedDomains: make(map[string]bool),
+		missingDomains:  make(map[string]bool),
 		upstreams:       make(map[string]*upstream),
 		view:            &View{},
 		entries:         make(map[string]entry),
@@ -94,41 +99,63 @@
 // period, because they may be about to register again.
 func (s *State) StoreRecovered(now time.Time) { s.graceUntil = now.Add(s.gracePeriod) }
 
-// Apply merges a batch of changes and returns the resulting view and the rejected changes.
+// BeginEra records that the next batch is a listing of a later era: the store has come back from an older copy of itself. What the copy
+// lacks, upstreams and excluded domains, is kept for the grace period, because it may be about to be written again.
+func (s *State) BeginEra(now time.Time) { s.graceUntil = now.Add(s.gracePeriod) }
+
+// Apply merges a batch of changes and returns the resulting view and the rejected changes. A batch of an earlier era, and one of a later era
+// that is no listing, is ignored. The listing of a later era replaces what is known only by what is newer in itself: the store may have come
+// back from a copy in which a configuration, a report or a removal is missing.
 func (s *State) Apply(batch change.Batch, now time.Time) (*View, []change.Change) {
 	changed := make(map[string]bool)
 	var rejected []change.Change
 	var applied []change.Change
-	isListing := batch.Full && batch.Revision >= s.revision
+	isNewEra := s.isNewEra(batch)
+	if batch.Era < s.position.Era || (isNewEra && !batch.Full) {
+		return s.View(), nil
+	}
+	isListing := batch.Full && batch.Compare(s.position) >= 0
 	if isListing {
-		applied = s.removeUnlisted(batch, now, changed)
+		applied = s.removeUnlisted(batch, isNewEra, now, changed)
 	}
 	for _, c := range batch.Changes {
-		if isListing && c.Registration != nil {
-			s.forgetRemoval(*c.Registration)
-		}
-		accepted, isNew := s.apply(c, now, changed)
+		accepted, isNew := s.merge(c, isListing && !isNewEra, now, changed)
 		switch {
 		case !accepted:
 			rejected = append(rejected, c)
 		case isNew:
 			applied = append(applied, c)
-		case c.Registration != nil:
-			s.refresh(c.Item)
 		}
 	}
 	s.expire(now, changed)
-	s.advance(batch.Revision, now)
+	s.advance(batch.Position, now)
 	s.record(applied, now)
 	return s.publish(changed), rejected
 }
 
+// isNewEra reports whether the store has come back from an older copy since the present state was read.
+func (s *State) isNewEra(batch change.Batch) bool {
+	return batch.Era > s.position.Era && s.position != (change.Position{})
+}
+
+// merge applies one change of a batch and reports whether it was accepted and whether it adds to the known state.
+func (s *State) merge(c change.Change, mayForgetRemoval bool, now time.Time, changed map[string]bool) (accepted, isNew bool) {
+	if mayForgetRemoval && c.Registration != nil {
+		s.forgetRemoval(*c.Registration)
+	}
+	accepted, isNew = s.apply(c, now, changed)
+	if accepted && !isNew && c.Registration != nil {
+		s.refresh(c.Item)
+	}
+	return accepted, isNew
+}
+
 // RemoveExpired removes the upstreams that did not register again within the grace period and returns the resulting view, or nil if
 // there were none.
 func (s *State) RemoveExpired(now time.Time) *View {
 	changed := make(map[string]bool)
 	s.expire(now, changed)
-	if len(changed) == 0 {
+	if len(changed) == 0 && len(s.View().ExcludedDomains) == len(s.excludedDomains) {
 		return nil
 	}
 	return s.publish(changed)
@@ -143,13 +170,7 @@
 		if c.Err != nil {
 			return false, false
 		}
-		isNew = s.excludedDomains[c.Name] == c.Removed
-		if c.Removed {
-			delete(s.excludedDomains, c.Name)
-		} else {
-			s.excludedDomains[c.Name] = true
-		}
-		return true, isNew
+		return true, s.applyDomain(c)
 	case change.KindUpstream:
 	}
 	if c.Registration == nil {
@@ -158,6 +179,23 @@
 	return s.register(*c.Registration, changed)
 }
 
+// applyDomain reports whether the change adds to the known state. The readmission of a domain that a new era lacks waits for the end of the
+// grace period.
+func (s *State) applyDomain(c change.Change) (isNew bool) {
+	isMissing := s.missingDomains[c.Name]
+	if c.Removed {
+		if isMissing || !s.excludedDomains[c.Name] {
+			return false
+		}
+		delete(s.excludedDomains, c.Name)
+		return true
+	}
+	delete(s.missingDomains, c.Name)
+	isNew = isMissing || !s.excludedDomains[c.Name] // its removal was relayed
+	s.excludedDomains[c.Name] = true
+	return isNew
+}
+
 // applyTable rejects a configuration whose revision is lower than the one in force.
 func (s *State) applyTable(c change.Change) (accepted, isNew bool) {
 	switch {
@@ -171,9 +209,10 @@
 }
 
 // forgetRemoval makes register accept the report of a removed upstream that a listing contains. The upstream has registered again, although
-// the sequence of the listed report may be lower than that of the removed one: reports without a material change are not relayed.
+// the sequence of the listed report may be lower than that of the removed one: reports without a material change are not relayed. A removal
+// in an earlier era is not forgotten, because the listed report may be from the copy of the store.
 func (s *State) forgetRemoval(r registration.Registration) {
-	if old, ok := s.upstreams[r.Upstream]; ok && old.removed && r.Incarnation >= old.Incarnation {
+	if old, ok := s.upstreams[r.Upstream]; ok && old.removed && old.removedEra == s.position.Era && r.Incarnation >= old.Incarnation {
 		delete(s.upstreams, r.Upstream)
 	}
 }
@@ -220,13 +259,14 @@
 		u.pendingRemoval = true
 		return isNew
 	}
-	u.removed, u.removedAt = true, now
+	u.removed, u.removedAt, u.removedEra = true, now, s.position.Era
 	changed[name] = true
 	return true
 }
 
-// removeUnlisted removes the items that a full batch does not list and returns their removals.
-func (s *State) removeUnlisted(batch change.Batch, now time.Time, changed map[string]bool) []change.Change {
+// removeUnlisted removes the items that a full batch does not list and returns their removals. Domains that the first listing of an era
+// lacks stay excluded until the grace period ends.
+func (s *State) removeUnlisted(batch change.Batch, isNewEra bool, now time.Time, changed map[string]bool) []change.Change {
 	listed := make(map[string]bool, len(batch.Changes))
 	for _, c := range batch.Changes {
 		listed[c.Key] = true
@@ -237,6 +277,11 @@
 			continue
 		}
 		c := change.Change{Item: change.Item{Key: key, Removed: true}, Kind: e.kind, Name: e.name}
+		if isNewEra && e.kind == change.KindDomain && s.excludedDomains[e.name] {
+			s.missingDomains[e.name] = true
+			removed = append(removed, c)
+			continue
+		}
 		if _, isNew := s.apply(c, now, changed); isNew {
 			removed = append(removed, c)
 		}
@@ -244,11 +289,17 @@
 	return removed
 }
 
-// expire removes upstreams whose grace period is over and forgets removals older than removalRetention.
+// expire removes upstreams and readmits domains whose grace period is over, and forgets removals older than removalRetention.
 func (s *State) expire(now time.Time, changed map[string]bool) {
+	if !now.Before(s.graceUntil) {
+		for name := range s.missingDomains {
+			delete(s.excludedDomains, name)
+		}
+		clear(s.missingDomains)
+	}
 	for name, u := range s.upstreams {
 		if u.pendingRemoval && !now.Before(s.graceUntil) {
-			u.pendingRemoval, u.removed, u.removedAt = false, true, now
+			u.pendingRemoval, u.removed, u.removedAt, u.removedEra = false, true, now, s.position.Era
 			changed[name] = true
 		}
 		if u.removed && now.Sub(u.removedAt) > removalRetention {
--- a/internal/published/state/update.go
+++ b/internal/published/state/update.go
@@ -11,18 +11,18 @@
 	"crocuswing/internal/published/registration"
 )
 
-// Update holds the changes that an instance with the state of an earlier revision needs. It is immutable.
+// Update holds the changes that an instance with the state of an earlier position needs. It is immutable.
 type Update struct {
 	// Full reports that Items lists all existing items, so that unlisted items do not exist.
-	Full     bool
-	Revision int64
-	Items    []change.Item
+	Full bool
+	change.Position
+	Items []change.Item
 }
 
-// Await returns the changes after a revision as soon as there are any, or an update without items when ctx ends.
-func (s *State) Await(ctx context.Context, revision int64) Update {
+// Await returns the changes after a position as soon as there are any, or an update without items when ctx ends.
+func (s *State) Await(ctx context.Context, after change.Position) Update {
 	for {
-		u, changed := s.updateSince(revision)
+		u, changed := s.updateSince(after)
 		if len(u.Items) > 0 || u.Full {
 			return u
 		}
@@ -34,37 +34,47 @@
 	}
 }
 
-// updateSince returns the changes after a revision and a channel that is closed by the next publish.
-func (s *State) updateSince(revision int64) (Update, <-chan struct{}) {
+// updateSince returns the changes after a position and a channel that is closed by the next publish. After a position of an earlier era it
+// returns everything.
+func (s *State) updateSince(after change.Position) (Update, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	u := Update{Full: !s.isBoundary(revision) && revision < s.view.Revision, Revision: s.view.Revision}
+	u := Update{Full: !s.isBoundary(after) && after.Compare(s.view.Position) < 0, Position: s.view.Position}
 	for _, e := range s.entries {
-		if (u.Full && !e.Removed) || (!u.Full && e.revision > revision) {
+		if (u.Full && !e.Removed) || (!u.Full && e.position.Compare(after) > 0) {
 			u.Items = append(u.Items, e.Item)
 		}
 	}
 	return u, s.changed
 }
 
-// isBoundary reports whether the entries hold all changes since a revision.
-func (s *State) isBoundary(revision int64) bool {
-	_, ok := slices.BinarySearchFunc(s.boundaries, revision, func(b boundary, r int64) int { return cmp.Compare(b.revision, r) })
+// isBoundary reports whether the entries hold all changes since a position.
+func (s *State) isBoundary(after change.Position) bool {
+	if after.Era != s.view.Era {
+		return false
+	}
+	_, ok := slices.BinarySearchFunc(s.boundaries, after.Revision, func(b boundary, r int64) int { return cmp.Compare(b.revision, r) })
 	return ok
 }
 
-// advance sets the revision to that of an applied batch.
-func (s *State) advance(revision int64, now time.Time) {
-	if revision <= s.revision {
+// advance sets the position to that of an applied batch. The first position of a later era is no boundary: an instance that has read the
+// store there lacks what this one has kept from before.
+func (s *State) advance(to change.Position, now time.Time) {
+	if to.Compare(s.position) <= 0 {
 		return
 	}
-	s.revision = revision
+	isNewEra := to.Era != s.position.Era && s.position != (change.Position{})
+	s.position = to
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if isNewEra {
+		s.boundaries = nil
+		return
+	}
 	if n := len(s.boundaries); n > 0 {
 		s.boundaries[n-1].supersededAt = now
 	}
-	s.boundaries = append(s.boundaries, boundary{revision: revision})
+	s.boundaries = append(s.boundaries, boundary{revision: to.Revision})
 }
 
 // existing returns the entries whose items are not removed.
@@ -76,12 +86,12 @@
 	return entries
 }
 
-// record stores the applied changes under the current revision. It forgets old removals and the boundaries that precede them.
+// record stores the applied changes under the current position. It forgets old removals and the boundaries that precede them.
 func (s *State) record(applied []change.Change, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range applied {
-		s.entries[c.Key] = entry{Item: c.Item, kind: c.Kind, name: c.Name, revision: s.revision, at: now}
+		s.entries[c.Key] = entry{Item: c.Item, kind: c.Kind, name: c.Name, position: s.position, at: now}
 	}
 	s.boundaries = slices.DeleteFunc(s.boundaries, func(b boundary) bool {
 		return !b.supersededAt.IsZero() && now.Sub(b.supersededAt) > removalRetention
@@ -111,7 +121,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.view
-	v := &View{Table: s.table, Upstreams: old.Upstreams, Revision: s.revision, ExcludedDomains: maps.Clone(s.excludedDomains)}
+	v := &View{Table: s.table, Upstreams: old.Upstreams, Position: s.position, ExcludedDomains: maps.Clone(s.excludedDomains)}
 	if len(changed) > 0 {
 		v.Upstreams = make(map[string]registration.Registration, len(s.upstreams))
 		for name, u := range s.upstreams {
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -213,7 +213,7 @@
 	if old := g.revision.Swap(v.Table.Revision()); old != v.Table.Revision() {
 		g.conns.SetLimits(v.Table.Limits())
 		g.log.Info("configuration in force", zap.Int64("revision", v.Table.Revision()), zap.Int64("former-revision", old),
-			zap.Int64("store-revision", v.Revision), zap.Int("services", v.Table.ServiceCount()))
+			zap.Int64("store-era", v.Era), zap.Int64("store-revision", v.Revision), zap.Int("services", v.Table.ServiceCount()))
 	}
 }
 
