fix(relay): a fleet does not read the store for seconds after an outage

Cause: instances whose state was stale because the store was away were avoided for 4 s, so that all others read the store meanwhile.

Change: when the store does not answer an instance either, it calls those with stale state again.

--- a/internal/published/relay/era_test.go
+++ b/internal/published/relay/era_test.go
@@ -55,7 +55,7 @@
 					reads := c.readCount() - before
 					t.Logf("all follow after %v, %d reads in 10 s", followed, reads)
 					require.LessOrEqual(t, followed, 1500*time.Millisecond)
-					require.LessOrEqual(t, reads, 4*n+20)
+					require.LessOrEqual(t, reads, 3*n/2+20)
 					for _, x := range c.instances {
 						require.EqualValues(t, 2, x.process.Load().follow.Position().Era)
 						require.True(t, x.has("lost"))
--- a/internal/published/relay/relay.go
+++ b/internal/published/relay/relay.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -69,12 +70,18 @@
 	count   func(name string)
 
 	mu       sync.Mutex
-	avoided  map[string]time.Time // end of avoidance, by address
+	avoided  map[string]avoidance // by address
 	rotation uint64
 	hasRead  bool
 	lastRead time.Time // last full read of the store while this instance had an ancestor
 }
 
+// avoidance is why and until when an instance is not called.
+type avoidance struct {
+	until   time.Time
+	isStale bool // it answered with stale state
+}
+
 // request asks for the changes after a revision.
 type request struct {
 	Revision int64 `msgpack:"r"`
@@ -118,7 +125,7 @@
 
 // New returns a relay in front of a store. The relay calls count with the name of the metric to increment.
 func New(s Store, m Members, count func(name string)) *Relay {
-	return &Relay{Store: s, members: m, count: count, avoided: make(map[string]time.Time)}
+	return &Relay{Store: s, members: m, count: count, avoided: make(map[string]avoidance)}
 }
 
 // ReadSince returns the changes after a position from the nearest ancestor, else from the store, else from another instance.
@@ -135,6 +142,7 @@
 	if b, ok := r.fetchFromOthers(ctx, others, q); ok {
 		return b, nil
 	}
+	r.callStaleAgain()
 	return change.Batch{}, err
 }
 
@@ -278,7 +286,8 @@
 		return change.Batch{}, err // not avoided: the instance is up but has no state yet, or one of an older era
 	}
 	if err != nil {
-		r.avoid(m.Address)
+		var stale *StaleError
+		r.avoid(m.Address, errors.As(err, &stale))
 		return change.Batch{}, err
 	}
 	b := change.Batch{Full: got.Full, Position: change.Position{Era: got.Era, Revision: got.Revision}, Relayed: true, Age: age}
@@ -293,19 +302,27 @@
 func (r *Relay) isAvoided(address string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Now().Before(r.avoided[address])
+	return time.Now().Before(r.avoided[address].until)
 }
 
-func (r *Relay) avoid(address string) {
+func (r *Relay) avoid(address string, isStale bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	for known, until := range r.avoided {
-		if now.After(until) {
+	for known, a := range r.avoided {
+		if now.After(a.until) {
 			delete(r.avoided, known)
 		}
 	}
-	r.avoided[address] = now.Add(avoidTime)
+	r.avoided[address] = avoidance{until: now.Add(avoidTime), isStale: isStale}
+}
+
+// callStaleAgain ends the avoidance of the instances with stale state. It is called when the store does not answer this instance either: the
+// whole fleet would otherwise read the store for avoidTime after an outage.
+func (r *Relay) callStaleAgain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.avoided, func(_ string, a avoidance) bool { return a.isStale })
 }
 
 // UpdateSource provides this instance's state to other instances.
