feat(entry): what connections of callers hold counts against a budget

Bodies, heads of many fields and open connections took memory and descriptors without a bound. internal/entry/budget decides, without I/O, what each connection may hold: above the limit the connections that have waited longest for their caller are closed, of the address that holds most. Connections of the caller, ready and metrics addresses count the bytes and lines of heads before net/http parses them (internal/entry/head), bodies as their buffer grows, and large answers; they are closed if bodies or the reading of answers are slower than 4 KiB/s beyond the idle timeout. Peer connections have slots, and their listener survives a lack of descriptors. The body of a refused request is read for a second at most; http.MaxBytesReader, which made net/http answer Expect: 100-continue for refused requests, is no longer used.

--- a/internal/entry/connections/connections.go
+++ b/internal/entry/connections/connections.go
@@ -1,85 +1,136 @@
-// Package connections tracks the connections that callers open to the HTTP server. It closes those that are idle or slow for
-// too long and, if there are too many, those that have waited longest for a request.
+// Package connections tracks the connections that callers open to an HTTP server. It counts what each of them holds against a budget,
+// refuses heads beyond the limits before net/http parses them, and closes connections that are idle or slow for too long.
 package connections
 
 import (
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"crocuswing/internal/entry/budget"
 	"crocuswing/internal/routing/limits"
+
+	"go.uber.org/zap"
 )
 
 const (
 	sweepInterval = 250 * time.Millisecond
+	// reportInterval is the minimum time between two log lines on closed connections.
+	reportInterval = 10 * time.Second
 	// defaultIdleTimeout and defaultHeaderTimeout apply while no configuration is known.
 	defaultIdleTimeout   = time.Minute
 	defaultHeaderTimeout = 10 * time.Second
+	// defaultMaxHeaderBytes applies while no configuration is known; it is the limit of net/http.
+	defaultMaxHeaderBytes = http.DefaultMaxHeaderBytes
+	// minBytesPerSecond is the rate that a body or the reading of an answer must have on average beyond the idle timeout. A body of the
+	// published limit of 262,144 bytes may thus take 64 s and the idle timeout; the longest time limit of a route is 4 s.
+	minBytesPerSecond = 4 << 10
+)
+
+// Causes for which a connection is closed or a request is refused.
+const (
+	causeIdle       = "idle"
+	causeSlowHead   = "slow-head"
+	causeSlowBody   = "slow-body"
+	causeSlowReader = "slow-reader"
+	causeLargeHead  = "large-head"
+	causeRefused    = "refused"
+	causeEvicted    = "evicted"
 )
 
 // Connections tracks the connections of an http.Server. It is safe for concurrent use.
 type Connections struct {
-	mu      sync.Mutex
-	limits  limits.Limits
-	maxOpen int // 0 for no limit
-	open    map[net.Conn]*connState
-}
-
-// connState is the state of one connection.
-type connState struct {
-	since     time.Time // start of the current state
-	isIdle    bool
-	isServing bool // the header of a request is complete
+	budget *budget.Budget
+	log    *zap.Logger
+	count  func(cause string)
+	limits atomic.Pointer[limits.Limits]
+
+	mu       sync.Mutex
+	open     map[*Conn]struct{}
+	causes   map[string]int // since the last report
+	reported time.Time
 }
 
 // connKey is the context key of a request's connection.
 type connKey struct{}
 
+// Option configures a set of connections.
+type Option func(*Connections)
+
+// WithLogger returns an option that logs how many connections were closed, at most every 10 s.
+func WithLogger(l *zap.Logger) Option { return func(c *Connections) { c.log = l } }
+
+// WithCounter returns an option that calls count for each connection that is closed and each request that is refused.
+func WithCounter(count func(cause string)) Option { return func(c *Connections) { c.count = count } }
+
 // New returns an empty set of connections.
-func New() *Connections { return &Connections{open: make(map[net.Conn]*connState)} }
+func New(options ...Option) *Connections {
+	c := &Connections{
+		budget: budget.New(budget.Limits{}),
+		log:    zap.NewNop(),
+		count:  func(string) {},
+		open:   make(map[*Conn]struct{}),
+		causes: make(map[string]int),
+	}
+	c.limits.Store(&limits.Limits{})
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
 
-// Track makes s report the states of its connections to c.
+// Listen returns a listener that adds the connections of l to c.
+func (c *Connections) Listen(l net.Listener) net.Listener { return &listener{Listener: l, set: c} }
+
+// Track makes s report the requests on its connections to c. The listener of s must be one of c.
 func (c *Connections) Track(s *http.Server) {
-	s.ConnState = c.onStateChange
+	s.ConnState = func(conn net.Conn, to http.ConnState) {
+		if conn, ok := conn.(*Conn); ok && to == http.StateIdle {
+			conn.endRequest()
+		}
+	}
 	s.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, conn)
 	}
 }
 
-// SetMax limits the number of connections; 0 means no limit. Above the limit each new connection replaces the one that has
-// waited longest for a request, so that no caller can lock out others with connections that carry no request.
-func (c *Connections) SetMax(n int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.maxOpen = n
-}
+// SetBudget limits the number of connections and what they hold. Above a limit the connections that have waited longest for their caller
+// are closed, so that no caller can lock out others.
+func (c *Connections) SetBudget(l budget.Limits) { c.budget.SetLimits(l) }
+
+// Used returns the memory that the connections hold, and their number.
+func (c *Connections) Used() (bytes int64, connections int) { return c.budget.Used() }
 
 // SetLimits changes the limits that apply to callers.
-func (c *Connections) SetLimits(l limits.Limits) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.limits = l
-}
+func (c *Connections) SetLimits(l limits.Limits) { c.limits.Store(&l) }
 
 // Limits returns the limits in force.
-func (c *Connections) Limits() limits.Limits {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.limits
+func (c *Connections) Limits() limits.Limits { return *c.limits.Load() }
+
+// MarkServing records that the head of a request is complete.
+func (c *Connections) MarkServing(r *http.Request) {
+	if conn := connOf(r); conn != nil {
+		conn.beginRequest(r.ContentLength)
+	}
 }
 
-// MarkServing records that the header of a request is complete. ctx is the context of that request.
-func (c *Connections) MarkServing(ctx context.Context) {
-	conn, _ := ctx.Value(connKey{}).(net.Conn)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if s, ok := c.open[conn]; ok {
-		s.isServing = true
+// EndServing records that the handler of a request has returned. What is left of an unread body is read for a short time only.
+func (c *Connections) EndServing(r *http.Request) {
+	if conn := connOf(r); conn != nil {
+		conn.limitRest()
 	}
 }
 
+// connOf returns the connection of a request, or nil.
+func connOf(r *http.Request) *Conn {
+	conn, _ := r.Context().Value(connKey{}).(*Conn)
+	return conn
+}
+
 // Run closes idle and slow connections until ctx ends.
 func (c *Connections) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
@@ -87,64 +138,114 @@
 	for {
 		select {
 		case <-ticker.C:
-			c.sweep(time.Now())
+			now := time.Now()
+			c.sweep(now)
+			c.report(now)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// onStateChange is the ConnState hook of the server. Each change of state restarts the time that sweep measures.
-func (c *Connections) onStateChange(conn net.Conn, to http.ConnState) {
+// add tracks a new connection. It returns nil if there is no room for it.
+func (c *Connections) add(raw net.Conn) *Conn {
+	conn := &Conn{Conn: raw, set: c, since: time.Now()}
+	conn.account = c.budget.NewAccount(sourceOf(raw), connectionBytes, func() { conn.closeFor(causeEvicted) })
+	if !conn.account.Open() {
+		c.record(causeRefused)
+		return nil
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch to {
-	case http.StateNew, http.StateActive, http.StateIdle:
-		c.open[conn] = &connState{since: time.Now(), isIdle: to == http.StateIdle}
-		if to == http.StateNew && c.maxOpen > 0 && len(c.open) > c.maxOpen {
-			c.evict(conn)
-		}
-	case http.StateClosed, http.StateHijacked:
-		delete(c.open, conn)
-	}
+	c.open[conn] = struct{}{}
+	return conn
 }
 
-// evict closes the connection that has waited longest for a request, except the given one. Connections with a request in
-// flight stay open.
-func (c *Connections) evict(except net.Conn) {
-	var oldest net.Conn
-	for conn, s := range c.open {
-		if conn != except && !s.isServing && (oldest == nil || s.since.Before(c.open[oldest].since)) {
-			oldest = conn
-		}
-	}
-	if oldest != nil {
-		c.close(oldest)
+// sourceOf returns the address of the caller.
+func sourceOf(raw net.Conn) netip.Addr {
+	if tcp, ok := raw.RemoteAddr().(*net.TCPAddr); ok {
+		return tcp.AddrPort().Addr().Unmap()
 	}
+	return netip.Addr{}
 }
 
-// close closes a connection and stops tracking it. The server reports its closed state later.
-func (c *Connections) close(conn net.Conn) {
-	_ = conn.Close()
+func (c *Connections) remove(conn *Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	delete(c.open, conn)
 }
 
-// sweep closes the connections that are idle or slow for too long. A connection on which no request is complete, including one
-// that sent nothing yet, counts as slow after the longer of the two limits.
+func (c *Connections) record(cause string) {
+	c.count(cause)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.causes[cause]++
+}
+
+// sweep closes the connections that are idle or slow for too long.
 func (c *Connections) sweep(now time.Time) {
+	c.mu.Lock()
+	open := make([]*Conn, 0, len(c.open))
+	for conn := range c.open {
+		open = append(open, conn)
+	}
+	c.mu.Unlock()
+	t := newTimeouts(c.Limits())
+	for _, conn := range open {
+		if cause := conn.overdue(now, t); cause != "" {
+			conn.closeFor(cause)
+		}
+	}
+}
+
+// report logs how many connections were closed since the last report, by cause.
+func (c *Connections) report(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	idle, header := c.limits.IdleTimeout, c.limits.HeaderTimeout
+	if len(c.causes) == 0 || now.Sub(c.reported) < reportInterval {
+		return
+	}
+	bytes, count := c.budget.Used()
+	c.log.Warn("connections of callers are closed", zap.Any("causes", c.causes), zap.Int("open", count), zap.Int64("bytes", bytes))
+	c.reported = now
+	c.causes = make(map[string]int)
+}
+
+// timeouts are the times after which a connection is closed.
+type timeouts struct{ idle, stalled time.Duration }
+
+func newTimeouts(l limits.Limits) timeouts {
+	idle, header := l.IdleTimeout, l.HeaderTimeout
 	if idle <= 0 {
 		idle = defaultIdleTimeout
 	}
 	if header <= 0 {
 		header = defaultHeaderTimeout
 	}
-	for conn, s := range c.open {
-		age := now.Sub(s.since)
-		if (s.isIdle && age > idle) || (!s.isIdle && !s.isServing && age > max(header, idle)) {
-			c.close(conn)
+	return timeouts{idle: idle, stalled: max(idle, header)}
+}
+
+// isSlow reports whether a transfer of n bytes has taken too long.
+func (t timeouts) isSlow(took time.Duration, n int64) bool {
+	return took > t.stalled+time.Duration(n)*time.Second/minBytesPerSecond
+}
+
+// listener adds its connections to a set.
+type listener struct {
+	net.Listener
+	set *Connections
+}
+
+// Accept returns the next connection for which there is room. It closes the others.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if conn := l.set.add(raw); conn != nil {
+			return conn, nil
 		}
+		_ = raw.Close()
 	}
 }
--- a/internal/entry/connections/connections_test.go
+++ b/internal/entry/connections/connections_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"crocuswing/internal/entry/budget"
 	"crocuswing/internal/routing/limits"
 	"crocuswing/internal/standin/network"
 
@@ -22,13 +23,13 @@
 		c, n := New(), network.New(time.Millisecond)
 		c.SetLimits(l)
 		server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-			c.MarkServing(r.Context())
+			c.MarkServing(r)
 			if r.URL.Path != "/quick" {
 				time.Sleep(20 * time.Second)
 			}
 		})}
 		c.Track(server)
-		go func() { _ = server.Serve(n.Listen("a", 64)) }()
+		go func() { _ = server.Serve(c.Listen(n.Listen("a", 64))) }()
 		ctx, cancel := context.WithCancel(t.Context())
 		go c.Run(ctx)
 		conn, err := n.Dial(ctx, "a")
@@ -86,7 +87,7 @@
 func TestTooMany(t *testing.T) {
 	withServer(t, shortLimits, func(t *testing.T, c *Connections, conn net.Conn, dial func() net.Conn) {
 		const maxOpen = 20
-		c.SetMax(maxOpen)
+		c.SetBudget(budget.Limits{Connections: maxOpen})
 		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 		require.NoError(t, err)
 		synctest.Wait()
--- a/internal/forward/request/request.go
+++ b/internal/forward/request/request.go
@@ -32,6 +32,8 @@
 	// Status is the HTTP status with which the request is rejected.
 	Status int
 	Reason string
+	// RetryAfter is the delay after which the request may be repeated if Status is 503.
+	RetryAfter time.Duration
 }
 
 // Error returns the reason and the status.
--- a/internal/forward/runner/handler.go
+++ b/internal/forward/runner/handler.go
@@ -45,6 +45,9 @@
 func rejected(err error) reply.Reply {
 	var invalid *request.BodyError
 	if errors.As(err, &invalid) {
+		if invalid.Status == http.StatusServiceUnavailable {
+			return reply.Refused(invalid.Reason, invalid.RetryAfter)
+		}
 		return reply.Failed(invalid.Status, invalid.Reason)
 	}
 	return reply.Failed(http.StatusBadRequest, err.Error())
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -12,10 +12,12 @@
 	"sync/atomic"
 	"time"
 
+	"crocuswing/internal/entry/budget"
 	"crocuswing/internal/entry/connections"
 	"crocuswing/internal/fleet/membership"
 	"crocuswing/internal/forward/aggregator"
 	"crocuswing/internal/forward/runner"
+	"crocuswing/internal/network/slots"
 	"crocuswing/internal/network/socket"
 	"crocuswing/internal/operator/metric"
 	"crocuswing/internal/peer/server"
@@ -47,11 +49,6 @@
 	subrequestBytes = 16 << 10
 	// bodyMemoryShare is the fraction of the instance's memory for large response bodies; small ones count with their subrequests.
 	bodyMemoryShare = 0.125
-	// callerSocketShare is the fraction of the instance's sockets for callers; the rest is for upstreams and other instances.
-	callerSocketShare = 0.5
-	// headerTimeout is a fallback; the limits of the configuration apply to callers.
-	headerTimeout  = 30 * time.Second
-	maxHeaderBytes = 1 << 20
 )
 
 // Gateway is one instance that forwards the requests of callers to upstreams.
@@ -64,7 +61,10 @@
 	membership  *membership.Membership
 	aggregators *aggregator.Selector
 	runner      *runner.Runner
-	conns       *connections.Connections
+	conns       *connections.Connections // of callers
+	readyConns  *connections.Connections
+	metricConns *connections.Connections
+	peerSlots   *budget.Budget
 	inFlight    *inflight.Tracker
 	subrequests *limiter.Limiter
 	bodies      *limiter.Limiter // memory of large response bodies in KiB
@@ -93,11 +93,13 @@
 		ports:       p,
 		log:         log.With(zap.String("instance", s.Instance)),
 		metrics:     metric.New(),
-		conns:       connections.New(),
 		inFlight:    inflight.New(),
 		subrequests: limiter.New(0),
 		bodies:      limiter.New(0),
 	}
+	g.conns = g.newConnections("caller")
+	g.readyConns, g.metricConns = g.newCheckConnections("ready"), g.newCheckConnections("metrics")
+	g.peerSlots = budget.New(budget.Limits{})
 	g.applyLimits(s)
 	latencyHistory := history.New()
 	g.catalog = catalog.New(s, latencyHistory, catalog.WithLinkOptions(link.WithMemoryLimit(g.bodies)))
@@ -130,11 +132,12 @@
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
 }
 
-// applyLimits sets the limits on subrequests and on connections of callers, according to the memory and the sockets of the instance.
+// applyLimits sets the limits on subrequests and on connections of callers, according to the memory and the sockets
+// of the instance.
 func (g *Gateway) applyLimits(s deployment.Settings) {
 	g.subrequests.SetLimit(int(subrequestMemoryShare * float64(s.MemoryBytes) / subrequestBytes))
 	g.bodies.SetLimit(int(bodyMemoryShare * float64(s.MemoryBytes) / (1 << 10)))
-	g.conns.SetMax(int(callerSocketShare * float64(s.MaxSockets)))
+	g.applyConnectionLimits(s)
 }
 
 // Run serves until ctx ends, then finishes what is in flight.
@@ -149,14 +152,10 @@
 	g.log.Info("instance starts", zap.String("failure-domain", g.settings.FailureDomain), zap.Strings("seeds", g.settings.Seeds))
 	backgroundCtx, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
-	errorLog, err := zap.NewStdLogAt(g.log, zap.WarnLevel)
+	callers, ready, metrics, err := g.newServers()
 	if err != nil {
-		return fmt.Errorf("error log of the caller server: %w", err)
+		return err
 	}
-	callers := &http.Server{DisableGeneralOptionsHandler: true, ErrorLog: errorLog, Handler: g.inFlight.Handler(g.handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	g.conns.Track(callers)
-	ready := &http.Server{Handler: g.readyHandler(g.ports.ReadyPath), ReadHeaderTimeout: headerTimeout}
-	metrics := &http.Server{Handler: g.metricsHandler(g.ports.MetricsPath), ReadHeaderTimeout: headerTimeout}
 	methods := map[string]server.Handler{
 		membership.Method: g.membership.Handle, relay.Method: relay.Handler(g.follower), aggregator.Method: g.aggregate,
 		aggregator.RestMethod: g.aggregateRest,
@@ -168,11 +167,13 @@
 	group.Go(func() error { g.membership.Run(backgroundCtx); return nil })
 	group.Go(func() error { g.catalog.Run(backgroundCtx); return nil })
 	group.Go(func() error { g.aggregators.Run(backgroundCtx); return nil })
-	group.Go(func() error { g.conns.Run(backgroundCtx); return nil })
-	group.Go(func() error { return socket.Serve(callers, listeners.callers) })
-	group.Go(func() error { return socket.Serve(ready, listeners.ready) })
-	group.Go(func() error { return socket.Serve(metrics, listeners.metrics) })
-	group.Go(func() error { return peers.Serve(listeners.peers) })
+	for _, c := range []*connections.Connections{g.conns, g.readyConns, g.metricConns} {
+		group.Go(func() error { c.Run(backgroundCtx); return nil })
+	}
+	group.Go(func() error { return socket.Serve(callers, g.conns.Listen(listeners.callers)) })
+	group.Go(func() error { return socket.Serve(ready, g.readyConns.Listen(listeners.ready)) })
+	group.Go(func() error { return socket.Serve(metrics, g.metricConns.Listen(listeners.metrics)) })
+	group.Go(func() error { return peers.Serve(slots.Listen(listeners.peers, g.peerSlots)) })
 	<-ctx.Done()
 	g.stop(callers)
 	stopBackground()
@@ -217,39 +218,6 @@
 	}
 }
 
-// limitRequests enforces the size limits on the headers and bodies of callers' requests.
-func (g *Gateway) limitRequests(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		g.conns.MarkServing(r.Context())
-		if len(r.TransferEncoding) > 0 {
-			// If a chunked request also has a Content-Length, net/http drops the length and does not report it. Read with the
-			// other framing, the following bytes may be another request, so the connection is closed (RFC 9112, section 6.1).
-			w.Header().Set("Connection", "close")
-		}
-		l := g.conns.Limits()
-		if l.MaxHeaderBytes > 0 && headerBytes(r) > l.MaxHeaderBytes {
-			w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
-			return
-		}
-		if l.MaxBodyBytes > 0 {
-			r.Body = http.MaxBytesReader(w, r.Body, l.MaxBodyBytes)
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-// headerBytes returns the size of a request's header, without the protocol version and the Host field.
-func headerBytes(r *http.Request) int {
-	const perLine = len(": \r\n")
-	n := len(r.Method) + len(r.RequestURI) + perLine
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + perLine
-		}
-	}
-	return n
-}
-
 // readyHandler returns the handler of the readiness check.
 func (g *Gateway) readyHandler(path string) http.Handler {
 	mux := http.NewServeMux()
