fix(upstream): a response whose status is not 100 to 999 in three digits is no response

readHead took each response with a status below 200 for an interim one, also 000, 001, 099 and +20, and read on: a body that reads like a response was returned as a 200, and with an empty body the attempt waited until the upstream closed the connection. The beginning of each status line is now checked before net/http parses it; 101, which no request asks for, is refused too. Such a response closes the connection, and the attempt has failed and may have run, both for forwarded requests and for the product's own messages.

--- a/internal/upstream/connection/response.go
+++ b/internal/upstream/connection/response.go
@@ -65,6 +65,9 @@
 	head.isLimited, head.remaining = true, MaxHeadBytes-r.Buffered()
 	defer func() { head.isLimited = false }()
 	for range MaxInterimResponses + 1 {
+		if err := checkStatus(r); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(r, req)
 		if err != nil {
 			return nil, err
@@ -75,6 +78,9 @@
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
+		if err := checkInterim(resp); err != nil {
+			return nil, err
+		}
 	}
 	return nil, &LimitError{Subject: "interim responses", Limit: MaxInterimResponses}
 }
