--- a/internal/entry/budget/budget.go
+++ b/internal/entry/budget/budget.go
@@ -6,14 +6,14 @@
 // from itself, and a request that is new and quick is not among the oldest.
 package budget
 
-import (
-	"net/netip"
-	"sync"
-)
+import "sync"
 
-// sourceShare is the fraction of the memory that the connections of one address may hold. The rest lets callers of other addresses begin a
+// SourceShare is the fraction of the memory that the connections of one address may hold. The rest lets callers of other addresses begin a
 // request at once while the requests of a crowd are running, which cannot be closed.
-const sourceShare = 0.75
+const SourceShare = 0.75
+
+// Address identifies the callers that share what a budget permits, by their network address.
+type Address [16]byte
 
 // Limits are the limits of a budget. A limit of 0 does not apply.
 type Limits struct {
@@ -30,12 +30,12 @@
 	bytes   int64
 	count   int
 	waits   uint64 // begun so far
-	sources map[netip.Addr]*source
+	sources map[Address]*source
 }
 
 // source holds the connections of one address in the order in which their wait for the caller began, the oldest first.
 type source struct {
-	address        netip.Addr
+	address        Address
 	bytes          int64
 	count          int
 	oldest, newest *Account
@@ -56,7 +56,7 @@
 }
 
 // New returns an empty budget.
-func New(l Limits) *Budget { return &Budget{limits: l, sources: make(map[netip.Addr]*source)} }
+func New(l Limits) *Budget { return &Budget{limits: l, sources: make(map[Address]*source)} }
 
 // SetLimits changes the limits. Connections beyond the new ones are closed when more is asked for.
 func (b *Budget) SetLimits(l Limits) {
@@ -74,7 +74,7 @@
 
 // NewAccount returns an account for a connection from the given address, which holds base bytes as long as it is open. evict is called, at
 // most once and without locks held, if the connection has to be closed.
-func (b *Budget) NewAccount(address netip.Addr, base int64, evict func()) *Account {
+func (b *Budget) NewAccount(address Address, base int64, evict func()) *Account {
 	return &Account{budget: b, source: &source{address: address}, evict: evict, base: base, isClosed: true}
 }
 
@@ -228,7 +228,7 @@
 			v = b.victim(a, func(s *source) int64 { return int64(s.count) }, int64(connections))
 		case b.limits.Bytes > 0 && b.bytes+n > b.limits.Bytes:
 			v = b.victim(a, func(s *source) int64 { return s.bytes }, n)
-		case b.limits.Bytes > 0 && a.source.bytes+n > int64(sourceShare*float64(b.limits.Bytes)):
+		case b.limits.Bytes > 0 && a.source.bytes+n > int64(SourceShare*float64(b.limits.Bytes)):
 			v = a.source.oldestWaiting(a)
 		default:
 			return victims, true
--- a/internal/entry/connections/body.go
+++ b/internal/entry/connections/body.go
@@ -5,7 +5,9 @@
 	"io"
 	"net/http"
 
+	"crocuswing/internal/entry/budget"
 	"crocuswing/internal/forward/request"
+	"crocuswing/internal/routing/limits"
 )
 
 const (
@@ -16,6 +18,13 @@
 	firstBodyBytes = 4 << 10
 )
 
+// RequestBytes returns the memory that one request within the limits may hold while its body is read, in a budget that leaves a fraction to
+// other addresses. While the buffer of a body grows to its whole size, the former one of at least half that size is held too.
+func RequestBytes(l limits.Limits) int64 {
+	head := float64(l.MaxHeaderBytes) * (1 + fieldBytes/minFieldBytes)
+	return int64((connectionBytes + head + 1.5*float64(l.MaxBodyBytes)) / budget.SourceShare)
+}
+
 var errNoMemory = errors.New("no memory for the body")
 
 // ReadBody reads the body of a request, whose memory counts against the budget until the request ends. It fails with *request.BodyError.
--- a/internal/entry/connections/conn.go
+++ b/internal/entry/connections/conn.go
@@ -70,7 +70,7 @@
 	bodyLeft  int64  // bytes of the body that were not read yet, or -1 if its length is not known
 	received  int64  // bytes of the body
 	writing   time.Time
-	written   int64 // bytes of the write in progress
+	written   int64 // bytes of the write in progress, including the piece that is being written
 	slowWrite bool
 }
 
@@ -170,25 +170,27 @@
 		c.account.Charge(int64(len(p)))
 		defer c.account.Release(int64(len(p)))
 	}
-	c.mu.Lock()
-	c.writing, c.written = time.Now(), 0
-	c.mu.Unlock()
 	defer c.endWrite()
-	if !isLarge {
-		return c.Conn.Write(p)
-	}
 	total := 0
-	for total < len(p) {
-		n, err := c.Conn.Write(p[total:min(total+writeStep, len(p))])
+	for {
+		piece := p[total:min(total+writeStep, len(p))]
+		c.beginWrite(len(piece))
+		n, err := c.Conn.Write(piece)
 		total += n
-		if err != nil {
+		if err != nil || total == len(p) {
 			return total, err
 		}
-		c.mu.Lock()
-		c.written = int64(total)
-		c.mu.Unlock()
 	}
-	return total, nil
+}
+
+// beginWrite records the write of n bytes, which may be a part of an answer.
+func (c *Conn) beginWrite(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writing.IsZero() {
+		c.writing, c.written = time.Now(), 0
+	}
+	c.written += int64(n)
 }
 
 func (c *Conn) endWrite() {
--- a/internal/entry/connections/connections.go
+++ b/internal/entry/connections/connections.go
@@ -6,12 +6,12 @@
 	"context"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"crocuswing/internal/entry/budget"
+	"crocuswing/internal/network/socket"
 	"crocuswing/internal/routing/limits"
 
 	"go.uber.org/zap"
@@ -26,6 +26,8 @@
 	defaultHeaderTimeout = 10 * time.Second
 	// defaultMaxHeaderBytes applies while no configuration is known; it is the limit of net/http.
 	defaultMaxHeaderBytes = http.DefaultMaxHeaderBytes
+	// maxLimit is the highest limit on bytes that applies, so that sums with it are in range. No instance has that much memory for callers.
+	maxLimit = 1 << 30
 	// minBytesPerSecond is the rate that a body or the reading of an answer must have on average beyond the idle timeout. A body of the
 	// published limit of 262,144 bytes may thus take 64 s and the idle timeout; the longest time limit of a route is 4 s.
 	minBytesPerSecond = 4 << 10
@@ -106,7 +108,10 @@
 func (c *Connections) Used() (bytes int64, connections int) { return c.budget.Used() }
 
 // SetLimits changes the limits that apply to callers.
-func (c *Connections) SetLimits(l limits.Limits) { c.limits.Store(&l) }
+func (c *Connections) SetLimits(l limits.Limits) {
+	l.MaxHeaderBytes, l.MaxBodyBytes = min(l.MaxHeaderBytes, maxLimit), min(l.MaxBodyBytes, maxLimit)
+	c.limits.Store(&l)
+}
 
 // Limits returns the limits in force.
 func (c *Connections) Limits() limits.Limits { return *c.limits.Load() }
@@ -150,7 +155,7 @@
 // add tracks a new connection. It returns nil if there is no room for it.
 func (c *Connections) add(raw net.Conn) *Conn {
 	conn := &Conn{Conn: raw, set: c, since: time.Now()}
-	conn.account = c.budget.NewAccount(sourceOf(raw), connectionBytes, func() { conn.closeFor(causeEvicted) })
+	conn.account = c.budget.NewAccount(socket.Source(raw), connectionBytes, func() { conn.closeFor(causeEvicted) })
 	if !conn.account.Open() {
 		c.record(causeRefused)
 		return nil
@@ -161,14 +166,6 @@
 	return conn
 }
 
-// sourceOf returns the address of the caller.
-func sourceOf(raw net.Conn) netip.Addr {
-	if tcp, ok := raw.RemoteAddr().(*net.TCPAddr); ok {
-		return tcp.AddrPort().Addr().Unmap()
-	}
-	return netip.Addr{}
-}
-
 func (c *Connections) remove(conn *Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/network/slots/slots.go
+++ b/internal/network/slots/slots.go
@@ -4,7 +4,6 @@
 import (
 	"errors"
 	"net"
-	"net/netip"
 	"syscall"
 	"time"
 
@@ -44,11 +43,7 @@
 
 func (l *listener) add(raw net.Conn) net.Conn {
 	_ = socket.SetUserTimeout(raw)
-	var address netip.Addr
-	if tcp, ok := raw.RemoteAddr().(*net.TCPAddr); ok {
-		address = tcp.AddrPort().Addr().Unmap()
-	}
-	c := &conn{Conn: raw, account: l.budget.NewAccount(address, 0, func() { _ = raw.Close() })}
+	c := &conn{Conn: raw, account: l.budget.NewAccount(socket.Source(raw), 0, func() { _ = raw.Close() })}
 	if !c.account.Open() {
 		return nil
 	}
--- a/internal/serve/gateway/callers.go
+++ b/internal/serve/gateway/callers.go
@@ -7,6 +7,7 @@
 
 	"crocuswing/internal/entry/budget"
 	"crocuswing/internal/entry/connections"
+	"crocuswing/internal/network/socket"
 	"crocuswing/internal/routing/limits"
 	"crocuswing/internal/settings/deployment"
 
@@ -18,6 +19,8 @@
 	// instances. The rest is for upstreams, the store, connections to other instances and the checks.
 	callerSocketShare = 0.5
 	peerSocketShare   = 0.25
+	// descriptorShare is the fraction of the limit of the process on descriptors that is available for sockets.
+	descriptorShare = 0.9
 	// callerMemoryShare is the fraction of the instance's memory for what connections of callers hold.
 	callerMemoryShare = 0.2
 	// checkMemoryShare is the fraction of the instance's memory for what connections to the ready address hold, and as much for those to
@@ -53,22 +56,58 @@
 
 // applyConnectionLimits sets the limits on connections to this instance.
 func (g *Gateway) applyConnectionLimits(s deployment.Settings) {
-	g.conns.SetBudget(budget.Limits{Bytes: int64(callerMemoryShare * float64(s.MemoryBytes)), Connections: socketShare(s, callerSocketShare)})
-	g.peerSlots.SetLimits(budget.Limits{Connections: socketShare(s, peerSocketShare)})
+	sockets := maxSockets(s.MaxSockets, socket.MaxDescriptors())
+	g.conns.SetBudget(budget.Limits{Bytes: callerMemory(s), Connections: socketShare(sockets, callerSocketShare)})
+	g.peerSlots.SetLimits(budget.Limits{Connections: socketShare(sockets, peerSocketShare)})
 	check := budget.Limits{Bytes: int64(checkMemoryShare * float64(s.MemoryBytes)), Connections: maxCheckSockets}
-	if s.MaxSockets > 0 {
-		check.Connections = min(max(socketShare(s, checkSocketShare), minCheckSockets), maxCheckSockets)
+	if sockets > 0 {
+		check.Connections = min(max(socketShare(sockets, checkSocketShare), minCheckSockets), maxCheckSockets)
 	}
 	g.readyConns.SetBudget(check)
 	g.metricConns.SetBudget(check)
 }
 
-// socketShare returns a fraction of the instance's sockets, at least one, or 0 if their number is not limited.
-func socketShare(s deployment.Settings, share float64) int {
-	if s.MaxSockets <= 0 {
+// callerMemory returns the memory for what connections of callers hold, or 0 if it is not limited.
+func callerMemory(s deployment.Settings) int64 {
+	return int64(callerMemoryShare * float64(s.MemoryBytes))
+}
+
+// maxSockets returns the number of sockets of the instance: that of its settings, within the limit of the process on descriptors. Either is
+// 0 if it is not known.
+func maxSockets(setting, descriptors int) int {
+	available := int(descriptorShare * float64(descriptors))
+	if setting <= 0 || (available > 0 && available < setting) {
+		return available
+	}
+	return setting
+}
+
+// socketShare returns a fraction of the instance's sockets, at least one, or 0 if their number is not known.
+func socketShare(sockets int, share float64) int {
+	if sockets <= 0 {
 		return 0
 	}
-	return max(1, int(share*float64(s.MaxSockets)))
+	return max(1, int(share*float64(sockets)))
+}
+
+// checkCallerLimits logs limits of a configuration for which the memory of the instance does not suffice: a single request within them may be
+// refused.
+func (g *Gateway) checkCallerLimits(l limits.Limits) {
+	memory := callerMemory(g.settings)
+	if need := connections.RequestBytes(l); memory > 0 && need > memory {
+		g.log.Warn("a request within the limits needs more memory than callers may use", zap.Int64("needed", need), zap.Int64("memory", memory))
+	}
+}
+
+// addConnectionGauges adds the memory and the number of connections of each address to the metrics.
+func (g *Gateway) addConnectionGauges() {
+	for _, a := range []struct {
+		address string
+		used    func() (int64, int)
+	}{{"caller", g.conns.Used}, {"ready", g.readyConns.Used}, {"metrics", g.metricConns.Used}, {"peer", g.peerSlots.Used}} {
+		g.metrics.Gauge(fmt.Sprintf("crocuswing_connections{address=%q}", a.address), func() float64 { _, n := a.used(); return float64(n) })
+		g.metrics.Gauge(fmt.Sprintf("crocuswing_connections_bytes{address=%q}", a.address), func() float64 { n, _ := a.used(); return float64(n) })
+	}
 }
 
 // newServers returns the HTTP servers of the caller, the ready and the metrics address. Their timeouts and limits are those of their
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -115,6 +115,7 @@
 	g.metrics.Gauge("crocuswing_instances", func() float64 { return float64(g.membership.Size()) })
 	g.metrics.Gauge("crocuswing_legs_in_flight", func() float64 { return float64(g.subrequests.Used()) })
 	g.metrics.Gauge("crocuswing_large_bodies_bytes", func() float64 { return float64(g.bodies.Used() << 10) })
+	g.addConnectionGauges()
 	g.metrics.Gauge("crocuswing_requests_in_flight", func() float64 { return float64(g.inFlight.Requests()) })
 	return g
 }
@@ -213,6 +214,7 @@
 	}
 	if old := g.revision.Swap(v.Table.Revision()); old != v.Table.Revision() {
 		g.conns.SetLimits(v.Table.Limits())
+		g.checkCallerLimits(v.Table.Limits())
 		g.log.Info("configuration in force", zap.Int64("revision", v.Table.Revision()), zap.Int64("former-revision", old),
 			zap.Int64("store-revision", v.Revision), zap.Int("services", v.Table.ServiceCount()))
 	}
--- a/internal/settings/deployment/deployment.go
+++ b/internal/settings/deployment/deployment.go
@@ -107,6 +107,9 @@
 	if s.MemoryBytes < 0 || s.MemoryBytes > MaxMemoryBytes {
 		return &Error{Key: "memory", Reason: fmt.Sprintf("is %d bytes, want 0 to %d", s.MemoryBytes, int64(MaxMemoryBytes))}
 	}
+	if s.MaxSockets < 0 || s.MaxSockets > MaxCount {
+		return &Error{Key: "sockets", Reason: fmt.Sprintf("is %d, want 0 to %d", s.MaxSockets, MaxCount)}
+	}
 	return s.check()
 }
 
