--- a/internal/entry/connections/conn_test.go
+++ b/internal/entry/connections/conn_test.go
@@ -6,10 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,19 +27,40 @@
 // published are the limits that the platform publishes.
 var published = limits.Limits{MaxHeaderBytes: 16_384, MaxBodyBytes: 262_144, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 
+// causeCounter counts connections that were closed by cause. It is safe for concurrent use.
+type causeCounter struct {
+	mu     sync.Mutex
+	causes map[string]int
+}
+
+func (c *causeCounter) add(cause string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.causes == nil {
+		c.causes = make(map[string]int)
+	}
+	c.causes[cause]++
+}
+
+func (c *causeCounter) all() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.causes)
+}
+
 // rig is a server on an in-memory network. Requests to /refused get a 404 without a look at their body, those to /large a large answer;
 // the others get the length of their body.
 type rig struct {
 	*Connections
-	closed map[string]int
+	closed causeCounter
 	dial   func() net.Conn
 }
 
 func withRig(t *testing.T, l budget.Limits, test func(t *testing.T, r *rig)) {
 	synctest.Test(t, func(t *testing.T) {
 		n := network.New(time.Millisecond)
-		r := &rig{closed: make(map[string]int)}
-		r.Connections = New(WithCounter(func(cause string) { r.closed[cause]++ }))
+		r := &rig{}
+		r.Connections = New(WithCounter(r.closed.add))
 		r.SetBudget(l)
 		r.SetLimits(published)
 		server := &http.Server{Handler: http.HandlerFunc(r.serve)}
@@ -177,7 +200,7 @@
 					require.Equal(t, c.want, body)
 					time.Sleep(published.IdleTimeout * 4 / 5)
 				}
-				require.Empty(t, r.closed)
+				require.Empty(t, r.closed.all())
 			})
 		})
 	}
@@ -216,7 +239,7 @@
 				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 				require.NoError(t, err)
 				require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
-				require.Equal(t, 1, r.closed[causeRefused])
+				require.Equal(t, 1, r.closed.all()[causeRefused])
 			})
 		})
 	}
@@ -234,7 +257,7 @@
 		}
 		status, _ := receive(t, bufio.NewReader(conn))
 		require.Equal(t, http.StatusOK, status)
-		require.Empty(t, r.closed)
+		require.Empty(t, r.closed.all())
 	})
 	for cause, text := range map[string]string{
 		causeSlowHead: "POST /x HTTP/1.1\r\nA: ",
@@ -251,7 +274,7 @@
 				}
 			}
 			require.InDelta(t, 15, time.Since(begin).Seconds(), 0.5)
-			require.Equal(t, map[string]int{cause: 1}, r.closed)
+			require.Equal(t, map[string]int{cause: 1}, r.closed.all())
 		})
 	}
 }
@@ -311,8 +334,8 @@
 	for name, reads := range map[string]bool{"slow": true, "stopped": false} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				closed := make(map[string]int)
-				c := New(WithCounter(func(cause string) { closed[cause]++ }))
+				var closed causeCounter
+				c := New(WithCounter(closed.add))
 				c.SetLimits(published)
 				server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					c.MarkServing(r)
@@ -336,10 +359,10 @@
 						require.NoError(t, err)
 						read += n
 					}
-					require.Empty(t, closed)
+					require.Empty(t, closed.all())
 				} else {
 					time.Sleep(time.Minute)
-					require.Equal(t, map[string]int{causeSlowReader: 1}, closed)
+					require.Equal(t, map[string]int{causeSlowReader: 1}, closed.all())
 				}
 				_ = near.Close()
 				cancel()
--- a/internal/entry/connections/connections.go
+++ b/internal/entry/connections/connections.go
@@ -90,6 +90,7 @@
 
 // Track makes s report the requests on its connections to c. The listener of s must be one of c.
 func (c *Connections) Track(s *http.Server) {
+	allowFields(s)
 	s.ConnState = func(conn net.Conn, to http.ConnState) {
 		if conn, ok := conn.(*Conn); ok && to == http.StateIdle {
 			conn.endRequest()
