--- a/internal/entry/connections/conn.go
+++ b/internal/entry/connections/conn.go
@@ -102,7 +102,9 @@
 		used, refusal = c.scan(p[:n])
 	}
 	if isRest {
-		c.rest = c.rest[used:]
+		if c.rest = c.rest[used:]; len(c.rest) == 0 {
+			c.rest = nil
+		}
 	} else if used < n {
 		c.rest = append(c.rest[:0:0], p[used:n]...)
 	}
