--- a/internal/upstream/cluster/replica.go
+++ b/internal/upstream/cluster/replica.go
@@ -13,6 +13,8 @@
 )
 
 const (
+	// coldWindow is longer than the second to which the cold rate applies, since requests arrive with different delays.
+	coldWindow = 1200 * time.Millisecond
 	// minShedPause is the minimum pause after an upstream shed a request; it exceeds a few service times of a busy upstream.
 	minShedPause = 20 * time.Millisecond
 	// maxResumeSpread is the longest time by which instances differ in when they end a pause that an upstream requested.
