feat(upstream): reports of load with four figures, and the work factor in the choice of a replica

Responses whose load header has a fourth figure were treated as reporting no load at all. The decoder now reads up to four figures with bounds, ignores further ones, and carries slots, work factor and announced size in cluster.Signals. The expected time of a replica is scaled by its reported work factor relative to the mean factor of the attempts in its mean latency; the weight of a report halves every 150 ms.

--- a/internal/query/balancer/balancer.go
+++ b/internal/query/balancer/balancer.go
@@ -58,6 +58,10 @@
 	loadMargin         = 0.25        // reported loads within this difference count as equal
 	loadReportHalfLife = time.Second // age at which a reported load has half its weight
 	latencyHalfLife    = time.Second // age at which the excess of a mean latency over the default is halved
+	// workFactorHalfLife is the age at which a reported work factor has half its weight. Upstreams change it many times a second.
+	workFactorHalfLife = 150 * time.Millisecond
+	// maxWorkFactor bounds the effect of a work factor, so that an odd report of one upstream does not outweigh the measured latency.
+	maxWorkFactor = 8
 )
 
 // defaultLatency is the expected latency at each distance before the first sample.
@@ -76,6 +80,11 @@
 	Load float64
 	// LoadAge is the age of the reported load.
 	LoadAge time.Duration
+	// WorkFactor is the duration of work that the upstream reported together with Load, relative to that of the attempts in Record; 0 if
+	// it reports none.
+	WorkFactor float64
+	// Path is the part of the expected latency that is due to the network and independent of the work factor.
+	Path time.Duration
 	// Penalty is the expected delay of an attempt due to the share of attempts that the upstream refuses or fails.
 	Penalty time.Duration
 	// Transient reports whether this instance keeps no connection to the upstream, so that an attempt has to open one.
@@ -194,7 +203,18 @@
 
 // cost returns the expected time of one more attempt, weighted with the attempts already in flight.
 func (c *Candidate) cost() float64 {
-	return float64(max(c.ExpectedLatency(), c.Record.OldestAge)+c.Penalty) * float64(1+c.inFlight())
+	return float64(max(c.scaledLatency(), c.Record.OldestAge)+c.Penalty) * float64(1+c.inFlight())
+}
+
+// scaledLatency returns the expected latency, with the part that is not due to the network scaled by the reported work factor.
+func (c *Candidate) scaledLatency() time.Duration {
+	expected := c.ExpectedLatency()
+	work := expected - c.Path
+	if c.WorkFactor <= 0 || work <= 0 {
+		return expected
+	}
+	factor := min(max(c.WorkFactor, 1.0/maxWorkFactor), maxWorkFactor)
+	return expected + time.Duration(float64(work)*(factor-1)*decay(c.LoadAge, workFactorHalfLife))
 }
 
 // ExpectedLatency returns the mean latency of recent attempts. A high mean decays toward the default for the distance while there are
--- a/internal/query/balancer/balancer_test.go
+++ b/internal/query/balancer/balancer_test.go
@@ -68,6 +68,11 @@
 		{"reports idle long ago", func(c *balancer.Candidate) { c.Load, c.LoadAge = 0, 5*time.Second }, balancer.First, 0.4, 0.6},
 		{"falsely reports idle", func(c *balancer.Candidate) { c.Load, c.Record.Latency = 0, 5*ms }, balancer.First, 0, 0},
 		{"falsely reports busy", func(c *balancer.Candidate) { c.Load, c.Record.Latency = 1, ms }, balancer.First, 1, 1},
+		{"reports slow work", func(c *balancer.Candidate) { c.WorkFactor = 2 }, balancer.First, 0, 0},
+		{"reports fast work", func(c *balancer.Candidate) { c.WorkFactor = 0.5 }, balancer.First, 1, 1},
+		{"reported slow work long ago", func(c *balancer.Candidate) { c.WorkFactor, c.LoadAge = 2, time.Second }, balancer.First, 0.4, 0.6},
+		{"slow work does not slow the network", func(c *balancer.Candidate) { c.WorkFactor, c.Path = 2, 3*ms }, balancer.First, 0.4, 0.6},
+		{"reports absurdly fast work", func(c *balancer.Candidate) { c.WorkFactor, c.Outstanding, c.Limit = 1e-9, 19, 0 }, balancer.First, 0, 0},
 		{"reports NaN", func(c *balancer.Candidate) { c.Load = math.NaN() }, balancer.First, 0.4, 0.6},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/upstream/cluster/cluster.go
+++ b/internal/upstream/cluster/cluster.go
@@ -7,6 +7,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -35,6 +36,7 @@
 	connections    int     // connections of this instance to each replica
 	subsetFraction float64 // fraction of the replicas to which this instance keeps connections
 	subsetUpdated  time.Time
+	intn           func(n int) int // random number in [0, n)
 }
 
 // Option configures a Cluster.
@@ -48,7 +50,7 @@
 
 // New returns an empty cluster. Its extra attempts are taken from budget.
 func New(name string, h *history.History, budget *retrybudget.Budget, options ...Option) *Cluster {
-	c := &Cluster{name: name, history: h, Budget: budget, coldRate: -1, subsetFraction: 1, departures: departure.New()}
+	c := &Cluster{name: name, history: h, Budget: budget, coldRate: -1, subsetFraction: 1, departures: departure.New(), intn: rand.IntN}
 	for _, option := range options {
 		option(c)
 	}
@@ -121,7 +123,7 @@
 	}
 	fresh := &Replica{
 		registration: r, region: region, distance: d, link: open(), departure: c.departures.Open(r.Upstream, r.Incarnation),
-		coldUntil: now.Add(r.Cold), load: -1,
+		coldUntil: now.Add(r.Cold), reportedLoad: reportedLoad{load: -1},
 	}
 	if i >= 0 {
 		c.replicas[i].link.Close()
--- a/internal/upstream/cluster/pick.go
+++ b/internal/upstream/cluster/pick.go
@@ -1,7 +1,6 @@
 package cluster
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -26,6 +25,8 @@
 	HedgeDelay time.Duration
 	// ExtraLatency is the additional network latency of each distance.
 	ExtraLatency [balancer.OtherRegion + 1]time.Duration
+	// Objective is the time that is left until the objective of the request; 0 if unknown.
+	Objective time.Duration
 }
 
 // Pick returns the replica for an attempt of a request on the route, and false if no replica may receive it. attempted lists the
@@ -50,7 +51,7 @@
 	}
 	i, ok := c.pickProbe(candidates, p, timing.HedgeDelay, now)
 	if !ok {
-		i, ok = balancer.Pick(candidates, p, time.Duration(stuckFraction*float64(timing.HedgeDelay)), rand.IntN)
+		i, ok = balancer.Pick(candidates, p, time.Duration(stuckFraction*float64(timing.HedgeDelay)), c.intn)
 	}
 	if !ok {
 		return nil, false
@@ -87,13 +88,15 @@
 	record := c.history.Get(r.Name(), now)
 	record.OldestAge = max(0, record.OldestAge-timing.ExtraLatency[r.distance])
 	return balancer.Candidate{
-		Upstream:  r.Name(),
-		State:     r.state(now, c.drainTime),
-		Distance:  r.distance,
-		Transient: r.transient,
-		Load:      r.load,
-		LoadAge:   now.Sub(r.loadAt),
-		Penalty:   time.Duration(failurePenalty * r.failureRate(now) * float64(timing.HedgeDelay)),
-		Record:    record,
+		Upstream:   r.Name(),
+		State:      r.state(now, c.drainTime),
+		Distance:   r.distance,
+		Transient:  r.transient,
+		Load:       r.load,
+		LoadAge:    now.Sub(r.loadAt),
+		WorkFactor: r.relativeFactor(),
+		Path:       timing.ExtraLatency[r.distance],
+		Penalty:    time.Duration(failurePenalty * r.failureRate(now) * float64(timing.HedgeDelay)),
+		Record:     record,
 	}
 }
--- a/internal/upstream/cluster/replica.go
+++ b/internal/upstream/cluster/replica.go
@@ -39,16 +39,15 @@
 
 // Replica is an upstream of a cluster. Its mutable fields are guarded by the mutex of the cluster.
 type Replica struct {
-	registration       registration.Registration
-	distance           balancer.Distance
-	region             string
-	link               *link.Link
-	departure          *departure.Departure
-	coldUntil          time.Time
-	shedUntil          time.Time // end of the pause after a shed request
-	pausedUntil        time.Time // end of the pause that the upstream requested
-	load               float64
-	loadAt             time.Time
+	registration registration.Registration
+	distance     balancer.Distance
+	region       string
+	link         *link.Link
+	departure    *departure.Departure
+	coldUntil    time.Time
+	shedUntil    time.Time // end of the pause after a shed request
+	pausedUntil  time.Time // end of the pause that the upstream requested
+	reportedLoad
 	misdirected        bool      // the address belongs to another upstream
 	preconnectedAt     time.Time // time of the last dial by Preconnect
 	connectionRefusals int       // consecutive refused connections
--- a/internal/upstream/cluster/signals.go
+++ b/internal/upstream/cluster/signals.go
@@ -16,6 +16,12 @@
 	Responder string
 	// Load is the number of running and queued requests relative to the slots; negative if unknown.
 	Load float64
+	// Slots is the number of requests that the upstream runs at a time; 0 if unknown.
+	Slots float64
+	// WorkFactor is how long work takes at the upstream at this moment relative to its usual duration; 0 if the upstream does not report it.
+	WorkFactor float64
+	// BodyBytes is the announced size of the body of the response; 0 if unknown.
+	BodyBytes int64
 	// RetryAfter is the pause that the upstream requested when it turned the request away; 0 if none.
 	RetryAfter time.Duration
 	// Proof proves that the upstream itself produced the response; empty if there is none.
@@ -68,9 +74,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if s.Load >= 0 {
-		r.load, r.loadAt = s.Load, now
-	}
+	r.recordLoad(s, now)
 	change.IsLeaving = c.recordDeparture(r, s, now)
 	switch {
 	case s.IsMisdirected:
