perf(upstream/cluster): a pick allocates nothing

Since shares are computed with each pick, the buffers of the candidates were moved to the heap: 1,216 bytes in 2 allocations, about 2 us a pick.

--- a/internal/upstream/cluster/explain.go
+++ b/internal/upstream/cluster/explain.go
@@ -34,8 +34,8 @@
 	if ok {
 		s.AvailableInMS = routereport.MS(max(0, from.Sub(now)))
 	}
-	var ch choice
-	c.collect(&ch, rt, nil, timing, now)
+	ch := c.newChoice(nil, nil, rt, nil, timing, now)
+	ch.shares, ch.hasShares = c.nextShares(timing, now)
 	if s.ByLoad = ch.hasShares; s.ByLoad {
 		s.Leaving = ch.shares.Leaving()
 		for _, share := range ch.shares.All() {
--- a/internal/upstream/cluster/pick.go
+++ b/internal/upstream/cluster/pick.go
@@ -34,8 +34,6 @@
 type choice struct {
 	replicas     []*Replica
 	candidates   []balancer.Candidate
-	replicaBuf   [8]*Replica
-	candidateBuf [8]balancer.Candidate
 	shares       locality.Shares
 	price        time.Duration // of a crossing to another failure domain
 	hasShares    bool          // the shares of the failure domains are in force for the service
@@ -51,11 +49,15 @@
 	if c.subsetFraction < 1 && now.Sub(c.subsetUpdated) >= subsetInterval {
 		c.updateSubset(now)
 	}
-	var ch choice
-	c.collect(&ch, rt, attempted, timing, now)
-	if ch.hasShares {
-		c.shares = ch.shares
+	var replicaBuf [8]*Replica
+	var candidateBuf [8]balancer.Candidate
+	ch := c.newChoice(replicaBuf[:0], candidateBuf[:0], rt, attempted, timing, now)
+	// Assigning ch.shares to c.shares would move the buffers to the heap.
+	shares, ok := c.nextShares(timing, now)
+	if ok {
+		c.shares = shares
 	}
+	ch.shares, ch.hasShares = shares, ok
 	i, ok := c.probeIndex(&ch, p, timing.HedgeDelay, now)
 	if ok {
 		ok = c.history.TakeProbe(ch.candidates[i].Upstream, now)
@@ -73,19 +75,17 @@
 	return r, true
 }
 
-// collect fills ch with the replicas that may receive the request. It changes nothing in the cluster.
-func (c *Cluster) collect(ch *choice, rt *route.Route, attempted []string, timing Timing, now time.Time) {
-	ch.candidates, ch.replicas = ch.candidateBuf[:0], ch.replicaBuf[:0]
-	ch.suspectAfter = stuckAfter(timing)
+// newChoice returns the choice among the replicas that may receive the request, which it appends to the given slices, without
+// the shares. It changes nothing in the cluster.
+func (c *Cluster) newChoice(replicas []*Replica, candidates []balancer.Candidate, rt *route.Route, attempted []string, timing Timing, now time.Time) choice {
 	for _, r := range c.replicas {
 		if c.exclusion(r, rt, now) != "" || slices.Contains(attempted, r.Name()) {
 			continue
 		}
-		ch.candidates = append(ch.candidates, c.candidate(r, timing, now))
-		ch.replicas = append(ch.replicas, r)
+		candidates = append(candidates, c.candidate(r, timing, now))
+		replicas = append(replicas, r)
 	}
-	ch.price = c.price()
-	ch.shares, ch.hasShares = c.nextShares(timing, now)
+	return choice{replicas: replicas, candidates: candidates, suspectAfter: stuckAfter(timing), price: c.price()}
 }
 
 // stuckAfter returns the duration that is passed to the balancer as the tail latency.
