--- a/internal/soak/site/upstream.go
+++ b/internal/soak/site/upstream.go
@@ -13,6 +13,8 @@
 	"crocuswing/internal/soak/record"
 	"crocuswing/internal/standin/proxy"
 	"crocuswing/internal/standin/replica"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Upstream is a simulated upstream behind a proxy, registered in the store.
@@ -54,7 +56,7 @@
 		Incarnation: time.Now().UnixMilli(), Sequence: 1,
 	}}
 	u.Replica = replica.New(name, replica.Options{
-		HeaderNames: s.Headers(), Slots: slots, Queue: queueLimit, Records: RecordsPerPart,
+		HeaderNames: s.Headers(), Slots: slots, Queue: queueLimit, Records: RecordsPerPart, ReportsWork: reportsWork(service),
 		ServiceTime: func(r *rand.Rand) time.Duration {
 			return baseServiceTime + time.Duration(r.Int64N(int64(baseServiceTime)))
 		},
@@ -75,6 +77,9 @@
 	return u, nil
 }
 
+// reportsWork reports whether the upstreams of a service report loads with four figures, as about half of the services do.
+func reportsWork(service string) bool { return xxhash.Sum64String(service)%2 == 0 }
+
 // Service returns the name of the upstream's service.
 func (u *Upstream) Service() string { return u.registration.Service }
 
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -50,6 +50,8 @@
 	RTT time.Duration
 	// PauseEvery and PauseFor are the interval and the length of pauses in which no request makes progress; 0 for none.
 	PauseEvery, PauseFor time.Duration
+	// ReportsWork adds a fourth figure to the reported load: how long work takes, with 100 as usual.
+	ReportsWork bool
 	// Records is the number of records in a part.
 	Records int
 	// Seed and the name of the replica determine its random choices.
@@ -301,11 +303,23 @@
 	return 0, p.options.PauseEvery - at
 }
 
+// load returns the reported load.
+func (p *Replica) load() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	text := fmt.Sprintf("%d,%d,%d", len(p.slots), p.waiting, p.options.Slots)
+	if p.options.ReportsWork {
+		const usual = 100
+		text += fmt.Sprintf(",%.0f", usual*p.slowdown)
+	}
+	return text
+}
+
 func (p *Replica) respond(ctx context.Context, w http.ResponseWriter, id string, f Fault) {
 	body := Part(p.id, id, p.options.Records)
 	h := w.Header()
 	h.Set(p.options.Proof, p.proof(id))
-	h.Set(p.options.Load, fmt.Sprintf("%d,0,%d", len(p.slots), p.options.Slots))
+	h.Set(p.options.Load, p.load())
 	switch f {
 	case Aborted:
 		panic(http.ErrAbortHandler)
