test(locality): price, objective, cold domains and domains that disappear

TestPolicy and TestDomainGone cover what the shares give way to. TestSharesNeedWorkFactors also compares the explanation, since it passed with shares for upstreams that report three figures.

--- a/internal/query/locality/locality_test.go
+++ b/internal/query/locality/locality_test.go
@@ -306,3 +306,47 @@
 		require.Equal(t, c.want, Group{}.WithReports(c.reports), c.name)
 	}
 }
+
+// TestPolicy guards against a price or an objective that is ignored. The nearest domain is full, another one has room.
+func TestPolicy(t *testing.T) {
+	const work = 20 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		policy Policy
+		cold   bool
+		leaves bool
+	}{
+		{"no price", Policy{Domains: 2}, false, true},
+		{"price above the gain", Policy{Domains: 2, Price: time.Second}, false, false},
+		{"price, but the objective would be missed", Policy{Domains: 2, Price: time.Second, Objective: 60 * time.Millisecond}, false, true},
+		{"price, and the objective is met", Policy{Domains: 2, Price: time.Second, Objective: 500 * time.Millisecond}, false, false},
+		{"the objective would be missed there as well", Policy{Domains: 2, Objective: 25 * time.Millisecond}, false, false},
+		{"cold", Policy{Domains: 2}, true, false},
+	} {
+		var s Shares
+		for i := range 100 {
+			s = s.Next([]Group{
+				{Domain: "a", Slots: 4, Load: 4, Work: work},
+				{Domain: "b", Distance: balancer.OtherRegion, Slots: 4, Load: 0.2, Work: work, Path: 16 * time.Millisecond, IsCold: c.cold},
+			}, c.policy, time.Unix(1, 0).Add(time.Duration(i)*10*time.Millisecond))
+		}
+		require.Equal(t, c.leaves, s.Leaving() > 0.1, "%s: %v", c.name, s.Leaving())
+	}
+}
+
+// TestDomainGone guards against a domain that is out and keeps a share, and against one that gets all of the share although it is full.
+func TestDomainGone(t *testing.T) {
+	near := Group{Domain: "a", Slots: 4, Load: 0.5, Work: time.Millisecond}
+	full := Group{Domain: "b", Distance: balancer.OtherRegion, Slots: 4, Load: 0.9, Work: time.Millisecond}
+	free := Group{Domain: "c", Distance: balancer.OtherRegion, Slots: 4, Load: 0.1, Work: time.Millisecond}
+	s := Shares{}.Next([]Group{near, full, free}, Policy{Domains: 3}, time.Unix(1, 0))
+	require.Zero(t, s.Leaving())
+	s = s.Next([]Group{full, free}, Policy{Domains: 3}, time.Unix(2, 0))
+	require.Zero(t, s.of("a"))
+	require.Less(t, s.of("b"), 0.1)
+	i, ok := s.Draw([]string{"b", "c"}, 0.5)
+	require.True(t, ok)
+	require.Equal(t, 1, i)
+	_, ok = s.Draw([]string{"a"}, 0.5)
+	require.False(t, ok)
+}
--- a/internal/upstream/cluster/locality_test.go
+++ b/internal/upstream/cluster/locality_test.go
@@ -152,6 +152,7 @@
 			_, ok := c.Pick(balancer.First, &route.Route{}, nil, timing)
 			require.True(t, ok)
 			_, ok = c.Leaving()
+			require.Equal(t, ok, c.Explain(&route.Route{}, timing).ByLoad)
 			return ok
 		}
 		require.False(t, isInForce(), "no reports")
