--- a/internal/forward/runner/handler.go
+++ b/internal/forward/runner/handler.go
@@ -32,18 +32,27 @@
 }
 
 func (h *handler) run(ctx context.Context) reply.Reply {
+	rep, ok := h.lookup()
+	if !ok {
+		return rep
+	}
+	return h.admit(ctx)
+}
+
+// lookup looks up the route of the request, or returns the reply to a request without one.
+func (h *handler) lookup() (reply.Reply, bool) {
 	if h.view.Table == nil {
-		return reply.Refused("no configuration is known yet", h.untilConfigured())
+		return reply.Refused("no configuration is known yet", h.untilConfigured()), false
 	}
 	var ok bool
 	h.route, ok = h.view.Table.Lookup(h.request.Host, h.request.Path)
 	switch {
 	case ok:
-		return h.admit(ctx)
+		return reply.Reply{}, true
 	case h.viewAge > staleViewAge:
-		return refused("no route in a view that may be old")
+		return refused("no route in a view that may be old"), false
 	}
-	return reply.Failed(http.StatusNotFound, "no route")
+	return reply.Failed(http.StatusNotFound, "no route"), false
 }
 
 // admit runs a request that has a route, if its caller may send it.
--- a/internal/forward/runner/subrequest.go
+++ b/internal/forward/runner/subrequest.go
@@ -84,9 +84,11 @@
 	}
 }
 
-// timing returns the hedge delay and the extra latencies of the request, with which the cluster compares its replicas.
-func (s *subrequest) timing() cluster.Timing {
-	return cluster.Timing{HedgeDelay: s.plan.HedgeDelay(balancer.SameDomain), ExtraLatency: s.plan.ExtraLatency}
+// timing returns the hedge delay, the extra latencies and the time left of the request, with which a cluster compares its replicas.
+func (e *execution) timing() cluster.Timing {
+	return cluster.Timing{
+		HedgeDelay: e.plan.HedgeDelay(balancer.SameDomain), ExtraLatency: e.plan.ExtraLatency, Objective: max(0, time.Until(e.plan.Objective)),
+	}
 }
 
 // newestInFlight returns the newest attempt in flight, or nil if there is none.
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,7 @@
 	"crocuswing/internal/network/slots"
 	"crocuswing/internal/network/socket"
 	"crocuswing/internal/operator/metric"
+	"crocuswing/internal/operator/routereport"
 	"crocuswing/internal/peer/server"
 	"crocuswing/internal/policy/limiter"
 	"crocuswing/internal/published/follower"
@@ -74,6 +76,9 @@
 	ports       Ports
 	stopping    atomic.Bool
 	revision    atomic.Int64
+	routeMu     sync.Mutex // held while a route is explained
+	// gatherers returns the names of the instances of this region that gather for the others; nil if there are none.
+	gatherers func() []string
 }
 
 // Ports holds the parts of an instance that depend on the platform.
@@ -116,6 +121,7 @@
 		runner.WithAggregators(s.Region, g.aggregators), runner.WithQuotas(g.quotas))
 	g.applyWorkspaceBounds(s.Bounds)
 	g.handler = g.limitRequests(p.NewHandler(g.runner))
+	g.registerShareMetrics()
 	g.metrics.Gauge("crocuswing_instances", func() float64 { return float64(g.membership.Size()) })
 	g.metrics.Gauge("crocuswing_legs_in_flight", func() float64 { return float64(g.subrequests.Used()) })
 	g.metrics.Gauge("crocuswing_large_bodies_bytes", func() float64 { return float64(g.bodies.Used() << 10) })
@@ -174,6 +180,7 @@
 	group.Go(func() error { g.catalog.Run(backgroundCtx); return nil })
 	group.Go(func() error { g.aggregators.Run(backgroundCtx); return nil })
 	group.Go(func() error { g.quotas.Run(backgroundCtx); return nil })
+	group.Go(func() error { g.logShares(backgroundCtx); return nil })
 	for _, c := range []*connections.Connections{g.conns, g.readyConns, g.metricConns} {
 		group.Go(func() error { c.Run(backgroundCtx); return nil })
 	}
@@ -252,6 +259,7 @@
 func (g *Gateway) metricsHandler(path string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) { g.metrics.Write(w) })
+	mux.HandleFunc("GET "+routereport.Path, g.serveRoute)
 	return mux
 }
 
--- a/internal/upstream/cluster/replica.go
+++ b/internal/upstream/cluster/replica.go
@@ -13,6 +13,8 @@
 )
 
 const (
+	// coldWindow is longer than the second to which the cold rate applies, since requests arrive with different delays.
+	coldWindow = 1200 * time.Millisecond
 	// minShedPause is the minimum pause after an upstream shed a request; it exceeds a few service times of a busy upstream.
 	minShedPause = 20 * time.Millisecond
 	// maxResumeSpread is the longest time by which instances differ in when they end a pause that an upstream requested.
@@ -37,16 +39,15 @@
 
 // Replica is an upstream of a cluster. Its mutable fields are guarded by the mutex of the cluster.
 type Replica struct {
-	registration       registration.Registration
-	distance           balancer.Distance
-	region             string
-	link               *link.Link
-	departure          *departure.Departure
-	coldUntil          time.Time
-	shedUntil          time.Time // end of the pause after a shed request
-	pausedUntil        time.Time // end of the pause that the upstream requested
-	load               float64
-	loadAt             time.Time
+	registration registration.Registration
+	distance     balancer.Distance
+	region       string
+	link         *link.Link
+	departure    *departure.Departure
+	coldUntil    time.Time
+	shedUntil    time.Time // end of the pause after a shed request
+	pausedUntil  time.Time // end of the pause that the upstream requested
+	reportedLoad
 	misdirected        bool      // the address belongs to another upstream
 	preconnectedAt     time.Time // time of the last dial by Preconnect
 	connectionRefusals int       // consecutive refused connections
@@ -117,8 +118,19 @@
 
 // isWithinColdRate reports whether a cold replica may receive another request within its rate.
 func (r *Replica) isWithinColdRate(now time.Time, perSecond int) bool {
+	sent := 0
+	for _, at := range r.coldSendTimes {
+		if now.Sub(at) < coldWindow {
+			sent++
+		}
+	}
+	return sent < perSecond
+}
+
+// recordColdSend counts a request to a cold replica.
+func (r *Replica) recordColdSend(now time.Time) {
 	r.coldSendTimes = slices.DeleteFunc(r.coldSendTimes, func(at time.Time) bool { return now.Sub(at) >= coldWindow })
-	return len(r.coldSendTimes) < perSecond
+	r.coldSendTimes = append(r.coldSendTimes, now)
 }
 
 // isDown reports whether the upstream counts as down after several consecutive refused connections.
