--- a/internal/forward/runner/subrequest.go
+++ b/internal/forward/runner/subrequest.go
@@ -2,21 +2,13 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"net/http"
-	"strings"
 	"time"
 
 	"crocuswing/internal/query/balancer"
 	"crocuswing/internal/upstream/cluster"
 	"crocuswing/internal/upstream/connection"
-	"crocuswing/internal/upstream/failure"
 )
 
-// maxLoggedAttempts is the number of latest attempts of a subrequest that a log line lists.
-const maxLoggedAttempts = 4
-
 // lostAttemptFactor is the number of hedge delays after which an attempt counts as lost.
 const lostAttemptFactor = 4
 
@@ -39,34 +31,6 @@
 	upstreamError      *connection.Response // the latest failure that an upstream sent
 }
 
-// attempt is one sending of the subrequest to a replica.
-type attempt struct {
-	replica  *cluster.Replica
-	cancel   context.CancelFunc
-	start    time.Time
-	gate     *sendGate
-	hasEnded bool
-	notRun   bool // certainly not run
-	outcome  string
-	took     time.Duration
-}
-
-func (a *attempt) mayHaveRun() bool {
-	if a.hasEnded {
-		return !a.notRun
-	}
-	return a.gate.isSent()
-}
-
-// result is the outcome of an attempt.
-type result struct {
-	subrequest *subrequest
-	attempt    int
-	response   connection.Response
-	signals    cluster.Signals
-	err        error
-}
-
 // advance sends the first attempt, a retry or a hedge, depending on the attempts so far.
 func (s *subrequest) advance(now time.Time) {
 	s.dueAt = time.Time{}
@@ -202,45 +166,6 @@
 	return !s.overBudget
 }
 
-// countPossiblyRun returns the number of attempts that may have run, which the route limits.
-func (s *subrequest) countPossiblyRun() int {
-	n := s.countDelegated()
-	for _, a := range s.attempts {
-		if a.mayHaveRun() {
-			n++
-		}
-	}
-	return n
-}
-
-// countSent returns the number of attempts that may have reached an upstream, including refused ones.
-func (s *subrequest) countSent() int {
-	n := s.countDelegated()
-	for _, a := range s.attempts {
-		if a.gate.isSent() {
-			n++
-		}
-	}
-	return n
-}
-
-// countDelegated returns the number of attempts that an aggregator may have sent: all that the route permits but one.
-func (s *subrequest) countDelegated() int {
-	if s.isSentByAggregator {
-		return s.route.MaxAttempts - 1
-	}
-	return 0
-}
-
-// attemptLimit returns the number of upstreams to which this instance may send the request. The instance that asked for an aggregate
-// keeps one attempt for itself.
-func (s *subrequest) attemptLimit() int {
-	if s.isAggregate {
-		return s.route.MaxAttempts - 1
-	}
-	return s.route.MaxAttempts
-}
-
 // outsideReplicas returns the names of the replicas that must not get the request from this instance: for an aggregate, those in other
 // regions.
 func (s *subrequest) outsideReplicas() []string {
@@ -250,29 +175,6 @@
 	return s.cluster.Names(s.region, false)
 }
 
-// usedReplicas returns the names of the replicas that have the request in flight or may have run it. A replica that refused
-// it may get it again later.
-func (s *subrequest) usedReplicas() []string {
-	var names []string
-	for _, a := range s.attempts {
-		if !a.hasEnded || !a.notRun {
-			names = append(names, a.replica.Name())
-		}
-	}
-	return names
-}
-
-// excludedReplicas returns the names of the replicas that must not get the request again.
-func (s *subrequest) excludedReplicas() []string {
-	var names []string
-	for _, a := range s.attempts {
-		if a.mayHaveRun() && s.route.NonIdempotent {
-			names = append(names, a.replica.Name())
-		}
-	}
-	return names
-}
-
 func (s *subrequest) scheduleRecheck(now time.Time) { s.dueAt = now.Add(recheckInterval) }
 
 func (s *subrequest) fail() {
@@ -299,97 +201,6 @@
 	})
 }
 
-// handleResult records the outcome of an attempt and decides how the subrequest continues.
-func (s *subrequest) handleResult(res result, now time.Time) {
-	a := s.attempts[res.attempt]
-	a.hasEnded, a.took = true, now.Sub(a.start)
-	var f *failure.Failure
-	switch {
-	case errors.As(res.err, &f):
-		a.outcome, a.notRun = f.Kind, f.NotRun
-	case res.err != nil:
-		a.outcome = res.err.Error()
-	case res.signals.NotRun || res.signals.IsMisdirected:
-		a.outcome, a.notRun = fmt.Sprintf("refused %d", res.response.Status), true
-		res.response.Free()
-	case s.isAcceptable(res):
-		s.complete(a, res)
-		return
-	default:
-		a.outcome = fmt.Sprintf("failed %d", res.response.Status)
-		s.keepError(res)
-	}
-	s.handleFailure(a, now)
-}
-
-// keepError keeps the latest failure that an upstream itself sent, which may become the reply.
-func (s *subrequest) keepError(res result) {
-	if res.signals.Proof == "" || impliesNotRun(res.response.Status) {
-		res.response.Free()
-		return
-	}
-	s.freeError()
-	s.upstreamError = &res.response
-}
-
-// freeError frees the failure that was kept, if any.
-func (s *subrequest) freeError() {
-	if s.upstreamError != nil {
-		s.upstreamError.Free()
-		s.upstreamError = nil
-	}
-}
-
-// isAcceptable reports whether the response answers the subrequest. A part must be a success. A response that goes to the
-// caller unchanged may be a server error only if the request must not run again.
-func (s *subrequest) isAcceptable(res result) bool {
-	if res.signals.Proof == "" {
-		return false
-	}
-	isSuccess := res.response.Status >= 200 && res.response.Status < 300
-	if impliesNotRun(res.response.Status) {
-		return false
-	}
-	return isSuccess || (!s.route.IsGather() && (s.route.NonIdempotent || res.response.Status < 500))
-}
-
-// impliesNotRun reports whether a status implies to callers that the request did not run and may be repeated. An upstream that
-// sends such a status without confirming this may have run the request, so its response is not passed on.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
-func (s *subrequest) complete(a *attempt, res result) {
-	a.outcome = "ok"
-	if s.isAnswered || s.hasFailed {
-		res.response.Free()
-		return
-	}
-	s.isAnswered = true
-	s.dueAt = time.Time{}
-	s.answered++
-	s.response, s.proof = res.response, res.signals.Proof
-}
-
-// handleFailure retries the subrequest after a failed attempt if no other is in flight, or fails it if it must not run again.
-func (s *subrequest) handleFailure(a *attempt, now time.Time) {
-	if s.isAnswered || s.hasFailed {
-		return
-	}
-	if s.route.NonIdempotent && !a.notRun {
-		s.fail()
-		return
-	}
-	if s.newestInFlight() != nil {
-		return
-	}
-	s.retry(now)
-}
-
 // cancel cancels the attempts in flight and reports whether any attempt may have run. An attempt that has not been sent yet
 // never will be.
 func (s *subrequest) cancel() (mayHaveRun bool) {
@@ -417,31 +228,3 @@
 	}
 }
 
-// describe appends the latest attempts and their outcomes to b, unless the only attempt was answered.
-func (s *subrequest) describe(b *strings.Builder) {
-	if len(s.attempts) == 1 && s.attempts[0].outcome == "ok" || len(s.attempts) == 0 && s.isAnswered {
-		return
-	}
-	fmt.Fprintf(b, "%s:", s.cluster.Name())
-	switch {
-	case len(s.attempts) > 0:
-	case s.isSentByAggregator:
-		b.WriteString("delegated ")
-	default:
-		b.WriteString("nobody ")
-	}
-	if omitted := len(s.attempts) - maxLoggedAttempts; omitted > 0 {
-		fmt.Fprintf(b, "(%d more) ", omitted)
-	}
-	for _, a := range s.attempts[max(0, len(s.attempts)-maxLoggedAttempts):] {
-		outcome := a.outcome
-		if outcome == "" {
-			outcome, a.took = "open", time.Since(a.start)
-		}
-		fmt.Fprintf(b, "%s=%s/%dms ", a.replica.Name(), outcome, a.took.Milliseconds())
-	}
-	if s.overBudget {
-		b.WriteString("denied ")
-	}
-	b.WriteByte(' ')
-}
