feat(forward): gather through few instances where connections are scarce

Cause: where an upstream accepts fewer connections than there are instances, each instance sends it so little that connections go idle, hedge delays come from few samples and each instance detects faults anew.

Change: where 0.85 of the connections are fewer than the instances, the instances of each region with the most capacity are aggregators, as many in the fleet as get 4 connections to each upstream, and share the connections and the cold rates of the gathered services. The others keep no connection and hand all shards of a request to an aggregator of their region. It counts the request in its retry budget, sends one attempt for each shard, and hedges and retries after the grant that follows its first reply. Without a reply in time there is no grant, and the instance sends its own single attempt. Near and distant delegations share selection, calls, merging and fallback. Instances publish their capacity (limits.cpuShare x limits.cores) with the membership.

--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -57,6 +57,8 @@
 	Heartbeat   uint64 `msgpack:"h"`
 	// FailureDomain is empty in the entries of instances of former releases.
 	FailureDomain string `msgpack:"d,omitempty"`
+	// Capacity is the processor time of the instance in thousandths of a core; 0 if unknown.
+	Capacity int `msgpack:"c,omitempty"`
 }
 
 // Message is both the request and the reply of a gossip exchange.
@@ -106,6 +108,13 @@
 	ms.self.FailureDomain = name
 }
 
+// SetCapacity sets the processor time, in thousandths of a core, that the entry of this instance states; 0 if unknown.
+func (ms *Membership) SetCapacity(capacity int) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	ms.self.Capacity = capacity
+}
+
 // SetSeeds replaces the addresses that are called to discover other instances.
 func (ms *Membership) SetSeeds(seeds []string) {
 	ms.mu.Lock()
--- a/internal/forward/aggregator/aggregator_test.go
+++ b/internal/forward/aggregator/aggregator_test.go
@@ -18,14 +18,19 @@
 
 // fleet is the Members of one instance. answer fills the reply to each call.
 type fleet struct {
-	self    string
-	members []membership.Member
-	answer  func(reply any) error
+	self       string
+	selfMember membership.Member
+	members    []membership.Member
+	answer     func(reply any) error
 }
 
 func (f fleet) Members() []membership.Member { return f.members }
 
-func (f fleet) Self() membership.Member { return membership.Member{Name: f.self} }
+func (f fleet) Self() membership.Member {
+	m := f.selfMember
+	m.Name = f.self
+	return m
+}
 
 func (f fleet) Call(_ context.Context, _, _ string, _, reply any) error { return f.answer(reply) }
 
@@ -114,7 +119,7 @@
 		f.answer = func(reply any) error { *reply.(*Reply) = c.reply; return nil }
 		s := New(f, regions)
 		_, err := s.Gather(t.Context(), membership.Member{}, Request{Shards: asked})
-		_, restErr := s.Rest(t.Context(), membership.Member{}, "q", asked)
+		_, restErr := s.Rest(t.Context(), membership.Member{}, RestRequest{ID: "q"}, asked)
 		var invalid *InvalidReplyError
 		if c.valid {
 			require.NoError(t, err)
--- a/internal/forward/aggregator/message.go
+++ b/internal/forward/aggregator/message.go
@@ -28,8 +28,12 @@
 	Revision int64 `msgpack:"r"`
 	// Shards is the set of shards by their index in the route.
 	Shards Set `msgpack:"s"`
-	// TimeLeftUS is the time in microseconds for which the caller waits.
-	TimeLeftUS int64 `msgpack:"l"`
+	// TimeLeftUS is the time in microseconds for which the caller waits, and ObjectiveUS the time until its objective; 0 if unknown.
+	TimeLeftUS  int64 `msgpack:"l"`
+	ObjectiveUS int64 `msgpack:"o,omitempty"`
+	// Near reports that the asked instance is in the same region. It may use the upstreams of all regions and counts the request in its
+	// retry budget. It sends one attempt for each shard and the others after the grant (see RestRequest).
+	Near bool `msgpack:"n,omitempty"`
 }
 
 // Reply holds the parts that have arrived, merged.
@@ -43,11 +47,21 @@
 	// attempts continue; RestMethod returns their parts.
 	Sent Set `msgpack:"s,omitempty"`
 	Late Set `msgpack:"l,omitempty"`
+	// EarlyUS is the time in microseconds by which the reply precedes the time at which it would have been due with parts late.
+	EarlyUS int64 `msgpack:"y,omitempty"`
+	// RetryAfterUS is the time in microseconds after which the request may be repeated, if the instance could serve fewer parts than an
+	// answer needs; 0 otherwise. Nothing was sent then.
+	RetryAfterUS int64 `msgpack:"w,omitempty"`
 }
 
 // RestRequest asks for the parts that were late in the reply to the request with this identifier.
 type RestRequest struct {
 	ID string `msgpack:"i"`
+	// Grant permits the aggregator all remaining attempts of the route on the late shards. The instance that asks sends none then.
+	Grant bool `msgpack:"g,omitempty"`
+	// DueUS is the time in microseconds after which the reply is due with what has arrived, at least one part; 0 if only when no part is
+	// late any more. The call may be repeated for the rest.
+	DueUS int64 `msgpack:"u,omitempty"`
 }
 
 // Set is a set of small integers as a bitmap.
--- a/internal/forward/runner/aggregate.go
+++ b/internal/forward/runner/aggregate.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"crocuswing/internal/forward/aggregator"
 	"crocuswing/internal/forward/merge"
 	"crocuswing/internal/forward/request"
 	"crocuswing/internal/query/balancer"
+	"crocuswing/internal/routing/route"
 
 	"go.uber.org/zap"
 )
@@ -20,21 +20,39 @@
 // Error returns the reason.
 func (e *RefusedError) Error() string { return e.Reason }
 
-// aggregate gathers the parts of some shards of a request for an instance of another region.
+// aggregate gathers the parts of some shards of a request for another instance. It asks no other instance.
 //
-// It sends attempts to upstreams of its own region only and asks no other instance. It does not hedge: its first reply is due when each
-// part has arrived, has failed or is late, and the instance that asked sends the hedges. The late attempts continue, and a second reply
-// holds their parts.
+// For an instance of another region it sends attempts to upstreams of its own region only and does not hedge: its first reply is due when
+// each part has arrived, has failed or is late, and the instance that asked sends the hedges.
+//
+// For an instance of its own region it sends one attempt for each shard, to upstreams of any region. Its first reply is due when each part
+// has arrived, has failed or needs another attempt, at the latest after the hedge delay. After the grant it hedges and retries as for its
+// own callers. In both cases the late attempts continue, and later replies hold their parts.
 type aggregate struct {
 	*execution
-	first, rest chan aggregator.Reply
-	cancel      context.CancelFunc
-	firstDue    time.Time   // when parts that have not arrived are late
-	isAwaited   atomic.Bool // the call for the late parts has arrived
+	first    chan aggregator.Reply
+	ended    chan struct{} // closed when no call for late parts is accepted any more
+	cancel   context.CancelFunc
+	firstDue time.Time // when the first reply is due although parts are late
+	call     *restCall // the call for late parts that waits for its reply; nil if there is none
+	// abandonAt is when the aggregate ends unless there is a call. It is set while there is none.
+	abandonAt time.Time
 }
 
-// restCallTimeout is the time within which the call for the late parts has to arrive. Without one, the caller has left or has its answer.
-const restCallTimeout = 200 * time.Millisecond
+// restCall is a call for the late parts of an aggregate.
+type restCall struct {
+	isGrant bool
+	due     time.Time // when the reply is due with what has arrived; zero if only when no part is late
+	reply   chan aggregator.Reply
+}
+
+const (
+	// restCallTimeout is the time within which the call for the late parts has to arrive. Without one, the caller has left or has its answer.
+	restCallTimeout = 200 * time.Millisecond
+	// maxFirstShare limits the time until the first reply to an instance of the same region to this share of the objective: below the half
+	// after which that instance falls back. An early reply costs nothing, since late parts continue.
+	maxFirstShare = 0.3
+)
 
 // Aggregate gathers parts and returns those that have arrived before the others are late. It fails with *RefusedError.
 func (r *Runner) Aggregate(ctx context.Context, q aggregator.Request) (aggregator.Reply, error) {
@@ -42,15 +60,18 @@
 	if err != nil {
 		return aggregator.Reply{}, err
 	}
+	if e.isNear {
+		if n, wait := e.available(e.request.Arrived); n < e.required {
+			return aggregator.Reply{RetryAfterUS: max(1, wait.Microseconds())}, nil
+		}
+	}
 	if !e.limiter.Acquire(len(e.subrequests), e.route.Rank) {
 		return aggregator.Reply{}, &RefusedError{Reason: "this instance has begun as much as it may"}
 	}
 	r.meter.Count("crocuswing_aggregates_served_total")
 	runCtx, cancel := context.WithDeadline(context.Background(), e.plan.Deadline)
-	a := &aggregate{
-		execution: e, first: make(chan aggregator.Reply, 1), rest: make(chan aggregator.Reply), cancel: cancel,
-		firstDue: e.request.Arrived.Add(max(e.plan.HedgeDelay(balancer.SameDomain), e.plan.HedgeDelay(balancer.SameRegion))),
-	}
+	a := &aggregate{execution: e, first: make(chan aggregator.Reply, 1), ended: make(chan struct{}), cancel: cancel}
+	a.firstDue = e.request.Arrived.Add(a.firstDelay())
 	r.aggregates.Store(q.ID, a)
 	r.inFlight.Go(func() {
 		defer cancel()
@@ -65,38 +86,59 @@
 	}
 }
 
-// AggregateRest returns the parts that were late in the reply to Aggregate, when they have arrived or have failed. It fails with
-// *RefusedError.
+// firstDelay returns the time after which the first reply is due although parts are late.
+func (a *aggregate) firstDelay() time.Duration {
+	d := max(a.plan.HedgeDelay(balancer.SameDomain), a.plan.HedgeDelay(balancer.SameRegion))
+	if a.isNear {
+		d = min(d, time.Duration(maxFirstShare*float64(a.route.Objective)))
+	}
+	return d
+}
+
+// AggregateRest returns the parts that were late in the reply to Aggregate, when they have arrived or have failed, or when q says that the
+// reply is due. It fails with *RefusedError if the grant, if any, was not accepted.
 func (r *Runner) AggregateRest(ctx context.Context, q aggregator.RestRequest) (aggregator.Reply, error) {
 	found, ok := r.aggregates.Load(q.ID)
 	if !ok {
 		return aggregator.Reply{}, &RefusedError{Reason: "no parts of this request are late here"}
 	}
 	a := found.(*aggregate)
-	a.isAwaited.Store(true)
+	call := &restCall{isGrant: q.Grant, reply: make(chan aggregator.Reply, 1)}
+	if q.DueUS > 0 {
+		call.due = time.Now().Add(time.Duration(min(q.DueUS, maxDue.Microseconds())) * time.Microsecond)
+	}
 	select {
-	case rep, ok := <-a.rest:
-		if !ok {
-			return aggregator.Reply{}, &RefusedError{Reason: "the late parts have ended"}
-		}
+	case a.commands <- func(now time.Time) { a.accept(call, now) }:
+	case <-a.ended:
+		return aggregator.Reply{}, &RefusedError{Reason: "the late parts have ended"}
+	}
+	select {
+	case rep := <-call.reply:
 		return rep, nil
 	case <-ctx.Done():
 		a.cancel()
-		return aggregator.Reply{}, ctx.Err()
+		return <-call.reply, nil // an error would state that the grant was not accepted
 	}
 }
 
+// maxDue bounds the time of a call for late parts, so that it does not overflow; the deadline of the request is earlier.
+const maxDue = time.Hour
+
 // run gathers the parts and sends the replies.
 func (a *aggregate) run(ctx context.Context) {
 	defer a.limiter.Release(len(a.subrequests))
-	defer a.close()
-	defer close(a.rest)
-	defer a.aggregates.CompareAndDelete(a.request.ID, a)
-	a.begin(time.Now())
+	defer a.end()
+	now := time.Now()
+	if a.isNear {
+		for _, s := range a.subrequests {
+			s.cluster.AddRequest()
+		}
+	}
+	a.begin(now)
 	a.wakeAt = a.firstDue
-	isRunning := a.loop(ctx, func(now time.Time) bool { return a.isSettled(!now.Before(a.firstDue)) })
-	a.wakeAt = time.Time{}
+	isRunning := a.loop(ctx, a.isFirstDue)
 	first := a.reply()
+	first.EarlyUS = max(0, time.Until(a.firstDue).Microseconds())
 	a.log.Info("aggregate", zap.String("request-id", a.request.ID), zap.String("route", a.route.Name), zap.Int64("revision", a.revision),
 		zap.Int("shards", len(a.subrequests)), zap.Int("answered", first.Answered.Len()), zap.Int("late", first.Late.Len()),
 		zap.Duration("took", time.Since(a.request.Arrived)), zap.String("attempts", a.describe()))
@@ -104,27 +146,122 @@
 	if !isRunning || first.Late.Len() == 0 {
 		return
 	}
-	timer := time.AfterFunc(restCallTimeout, func() {
-		if !a.isAwaited.Load() {
-			a.cancel()
+	a.abandonAt = time.Now().Add(restCallTimeout)
+	a.loop(ctx, a.isOver)
+}
+
+// end refuses further calls for late parts and replies to the one that waits.
+func (a *aggregate) end() {
+	a.aggregates.CompareAndDelete(a.request.ID, a)
+	close(a.ended)
+	a.close()
+	if a.call != nil {
+		a.answerCall(time.Now())
+	}
+}
+
+// isFirstDue reports whether the first reply is due.
+func (a *aggregate) isFirstDue(now time.Time) bool {
+	isLate := !now.Before(a.firstDue)
+	if isLate {
+		a.wakeAt = time.Time{}
+	}
+	for _, s := range a.subrequests {
+		isDone := s.isAnswered || s.hasFailed
+		if a.isNear {
+			isDone = isDone || s.needsGrant || isLate
+		} else {
+			isDone = isDone || (isLate && s.countSent() > 0)
+		}
+		if !isDone {
+			return false
+		}
+	}
+	return true
+}
+
+// isOver replies to the call for late parts if it is due, and reports whether the aggregate ends: no part is late, or no call arrives.
+func (a *aggregate) isOver(now time.Time) bool {
+	isSettled := a.isSettled()
+	if a.call != nil && (isSettled || (a.call.isDue(now) && a.hasNews())) {
+		a.answerCall(now)
+		if isSettled {
+			return true
+		}
+	}
+	switch {
+	case a.call == nil && !now.Before(a.abandonAt):
+		a.cancelAll()
+		return true
+	case a.call == nil:
+		a.wakeAt = a.abandonAt
+	case a.call.isDue(now):
+		a.wakeAt = time.Time{} // the next part that arrives is the reply
+	default:
+		a.wakeAt = a.call.due
+	}
+	return false
+}
+
+// isDue reports whether the reply is due with what has arrived.
+func (c *restCall) isDue(now time.Time) bool { return !c.due.IsZero() && !now.Before(c.due) }
+
+// accept makes a call the one that waits for late parts, and uses its grant.
+func (a *aggregate) accept(c *restCall, now time.Time) {
+	if a.call != nil {
+		a.answerCall(now)
+	}
+	a.call = c
+	if c.isGrant && a.isNear && !a.isGranted {
+		a.isGranted = true
+		for _, s := range a.subrequests {
+			s.useGrant(now)
+		}
+	}
+}
+
+// answerCall replies to the call that waits.
+func (a *aggregate) answerCall(now time.Time) {
+	a.call.reply <- a.reply()
+	a.call, a.abandonAt = nil, now.Add(restCallTimeout)
+}
+
+// isSettled reports whether each part has arrived or has failed, as far as the attempts permitted so far go.
+func (a *aggregate) isSettled() bool {
+	for _, s := range a.subrequests {
+		if !s.isAnswered && !s.hasFailed && (!s.needsGrant || s.newestInFlight() != nil) {
+			return false
+		}
+	}
+	return true
+}
+
+// hasNews reports whether a part has arrived since the last reply.
+func (a *aggregate) hasNews() bool {
+	for _, s := range a.subrequests {
+		if s.isAnswered && !s.isReported {
+			return true
 		}
-	})
-	defer timer.Stop()
-	a.loop(ctx, func(time.Time) bool { return a.isSettled(false) })
-	select {
-	case a.rest <- a.reply():
-	case <-ctx.Done():
 	}
+	return false
+}
+
+// mayGather reports whether this instance may gather parts of requests of the route for others.
+func (r *Runner) mayGather(rt *route.Route) bool {
+	return rt.IsGather() && rt.Allows(r.region) && rt.MaxAttempts >= 2
 }
 
 // newAggregate returns the execution of the subrequests that q asks for.
 func (r *Runner) newAggregate(q aggregator.Request) (*execution, error) {
+	if r.end.Load() != nil {
+		return nil, &RefusedError{Reason: "this instance stops"}
+	}
 	table := r.viewer.View().Table
 	if table == nil || table.Revision() != q.Revision {
 		return nil, &RefusedError{Reason: fmt.Sprintf("revision %d is not in force here", q.Revision)}
 	}
 	rt, ok := table.Lookup(q.Host, q.Path)
-	if !ok || !rt.IsGather() || !rt.Allows(r.region) || rt.MaxAttempts < 2 || q.Shards.Len() == 0 || q.TimeLeftUS <= 0 {
+	if !ok || !r.mayGather(rt) || q.Shards.Len() == 0 || q.TimeLeftUS <= 0 {
 		return nil, &RefusedError{Reason: "no parts of this request may be gathered here"}
 	}
 	req := request.Request{
@@ -132,7 +269,11 @@
 		Arrived: time.Now(), Timeout: time.Duration(q.TimeLeftUS) * time.Microsecond,
 	}
 	e := newExecution(r, req, rt, q.Revision)
-	e.isAggregate = true
+	e.isAggregate, e.isNear = true, q.Near
+	if q.ObjectiveUS > 0 && q.ObjectiveUS < q.TimeLeftUS {
+		e.plan.Objective = req.Arrived.Add(time.Duration(q.ObjectiveUS) * time.Microsecond)
+	}
+	e.commands = make(chan func(time.Time))
 	var asked []*subrequest
 	for _, s := range e.subrequests {
 		if q.Shards.Has(s.index) {
@@ -143,20 +284,10 @@
 		return nil, &RefusedError{Reason: fmt.Sprintf("the route has %d shards here", len(rt.Shards))}
 	}
 	e.subrequests = asked
+	e.required = max(0, e.required-(len(rt.Shards)-len(asked)))
 	return e, nil
 }
 
-// isSettled reports whether each part has arrived or has failed. With orLate, parts for which an attempt was sent count as settled.
-func (a *aggregate) isSettled(orLate bool) bool {
-	for _, s := range a.subrequests {
-		isDone := s.isAnswered || s.hasFailed || (orLate && s.countSent() > 0)
-		if !isDone {
-			return false
-		}
-	}
-	return true
-}
-
 // reply merges the parts that have arrived since the last reply.
 func (a *aggregate) reply() aggregator.Reply {
 	m := merge.New(a.route.TopK)
@@ -169,7 +300,7 @@
 			r.Proofs = append(r.Proofs, s.proof)
 			m.Add(s.response.Body)
 		case s.isAnswered:
-		case s.countSent() > 0:
+		case s.countSent() > 0 || (a.isNear && !s.hasFailed): // the latter may yet be sent
 			r.Sent = r.Sent.With(s.index)
 			if !s.hasFailed {
 				r.Late = r.Late.With(s.index)
--- a/internal/forward/runner/attempt.go
+++ b/internal/forward/runner/attempt.go
@@ -63,21 +63,28 @@
 	return n
 }
 
-// countDelegated returns the number of attempts that an aggregator may have sent: all that the route permits but one.
+// countDelegated returns the number of attempts that an aggregator may have sent: all that the route permits but one, or all after a
+// grant.
 func (s *subrequest) countDelegated() int {
-	if s.isSentByAggregator {
-		return s.route.MaxAttempts - 1
+	switch {
+	case !s.isSentByAggregator:
+		return 0
+	case s.isHandedOver:
+		return s.route.MaxAttempts
 	}
-	return 0
+	return s.route.MaxAttempts - 1
 }
 
 // attemptLimit returns the number of upstreams to which this instance may send the request. The instance that asked for an aggregate
-// keeps one attempt for itself.
+// keeps one attempt for itself, or all but one until it grants them.
 func (s *subrequest) attemptLimit() int {
-	if s.isAggregate {
-		return s.route.MaxAttempts - 1
+	switch {
+	case !s.isAggregate || s.isGranted:
+		return s.route.MaxAttempts
+	case s.isNear:
+		return 1
 	}
-	return s.route.MaxAttempts
+	return s.route.MaxAttempts - 1
 }
 
 // usedReplicas returns the names of the replicas that have the request in flight or may have run it. A replica that refused
--- a/internal/forward/runner/delegation.go
+++ b/internal/forward/runner/delegation.go
@@ -24,23 +24,30 @@
 // With a single one, they would wait for each other. All instances have the same share.
 const minAggregatorConnections = 2
 
-// Aggregators selects instances of other regions and asks them for parts.
+// Aggregators selects instances that gather parts and asks them.
 type Aggregators interface {
-	// Pick returns an instance of the region for a request, and false if none is known to answer.
-	Pick(region, requestID string) (membership.Member, bool)
+	// GathersItself reports whether this instance gathers the parts of its own requests.
+	GathersItself() bool
+	// Pick returns an instance of the region for a request, none of those named in tried, and false if none is known to answer.
+	Pick(region, requestID string, tried ...string) (membership.Member, bool)
 	// Gather fails with *client.UnsentError or *client.RefusedError if no upstream has received anything.
 	Gather(ctx context.Context, m membership.Member, q aggregator.Request) (aggregator.Reply, error)
-	// Rest asks for the parts that were late in the reply to Gather.
-	Rest(ctx context.Context, m membership.Member, id string, late aggregator.Set) (aggregator.Reply, error)
-	// Answered records that the instance has answered in time, and Missed that it has not or has refused.
+	// Rest asks for the parts that were late in the reply to Gather. After the same errors the aggregator has not accepted the grant.
+	Rest(ctx context.Context, m membership.Member, q aggregator.RestRequest, late aggregator.Set) (aggregator.Reply, error)
+	// Answered records that the instance has answered in time, Missed that it has not, and Refused that it has refused.
 	Answered(m membership.Member)
 	Missed(m membership.Member)
+	Refused(m membership.Member)
 }
 
 // delegation is the shards of a request whose parts an aggregator gathers.
 type delegation struct {
 	*execution
 	region     string
+	isNear     bool           // the aggregator is in this region and gathers all shards; see nearAttempts
+	isGranted  bool           // the aggregator was granted all attempts on the late shards
+	isAccepted bool           // the aggregator has replied to a call with the grant
+	late       aggregator.Set // the shards that are late at the aggregator
 	instance   membership.Member
 	members    []*subrequest
 	cancelCall context.CancelFunc
@@ -94,17 +101,22 @@
 			continue
 		}
 		if instance, ok := e.aggregators.Pick(region, e.request.ID); ok {
-			e.startDelegation(region, instance, free, now)
+			e.startDelegation(&delegation{region: region, instance: instance, members: free}, now)
 		}
 	}
 }
 
 // mayDelegate reports whether aggregators may be asked: each shard needs an attempt for the fallback, and the time for it.
 func (e *execution) mayDelegate(now time.Time) bool {
-	return e.aggregators != nil && !e.isAggregate && e.route.IsGather() && e.route.MaxAttempts >= 2 &&
+	return e.hasFallback() &&
 		e.plan.Objective.Sub(now) >= e.plan.AggregateDelay+e.plan.HedgeDelay(balancer.OtherRegion)
 }
 
+// hasFallback reports whether each shard may be sent again after an aggregator may have sent it.
+func (e *execution) hasFallback() bool {
+	return e.aggregators != nil && !e.isAggregate && e.route.IsGather() && !e.route.NonIdempotent && e.route.MaxAttempts >= 2
+}
+
 // largestRegion returns the region with the most shards that are not delegated yet. Requests choose among equal ones by hash.
 func (e *execution) largestRegion(shardsByRegion map[string][]*subrequest) string {
 	best, bestCount, bestHash := "", -1, uint64(0)
@@ -123,25 +135,25 @@
 	return best
 }
 
-func (e *execution) startDelegation(region string, instance membership.Member, members []*subrequest, now time.Time) {
+// startDelegation calls the aggregator of d, which has a region, an instance and members.
+func (e *execution) startDelegation(d *delegation, now time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), e.plan.Deadline)
-	d := &delegation{
-		execution: e, region: region, instance: instance, members: members, cancelCall: cancel, start: now, lateAt: now.Add(e.plan.AggregateDelay),
-	}
+	d.execution, d.cancelCall, d.start, d.lateAt = e, cancel, now, now.Add(e.plan.AggregateDelay)
 	e.delegations = append(e.delegations, d)
 	q := aggregator.Request{
 		ID: e.request.ID, Method: e.request.Method, Target: e.request.Target, Path: e.request.Path, Host: e.request.Host,
-		Header: e.request.Header, Workspace: e.request.Workspace, Body: e.request.Body, Revision: e.revision, TimeLeftUS: e.plan.Deadline.Sub(now).Microseconds(),
+		Header: e.request.Header, Workspace: e.request.Workspace, Body: e.request.Body, Revision: e.revision,
+		TimeLeftUS: e.plan.Deadline.Sub(now).Microseconds(), ObjectiveUS: max(0, e.plan.Objective.Sub(now).Microseconds()), Near: d.isNear,
 	}
-	for _, s := range members {
-		s.delegation, s.delegatedRegion, s.isSentByAggregator = d, region, true // until the outcome of the call shows otherwise
+	for _, s := range d.members {
+		s.delegation, s.delegatedRegion, s.isSentByAggregator = d, d.region, true // until the outcome of the call shows otherwise
 		q.Shards = q.Shards.With(s.index)
 	}
 	e.meter.Count("crocuswing_aggregates_asked_total")
 	e.inFlight.Go(func() {
 		defer cancel()
 		res := delegationResult{delegation: d}
-		res.reply, res.err = e.aggregators.Gather(ctx, instance, q)
+		res.reply, res.err = e.aggregators.Gather(ctx, d.instance, q)
 		d.deliver(res)
 	})
 }
@@ -162,50 +174,72 @@
 // handleResult records the parts that the aggregator has gathered, and asks for those that are late. Its other shards fall back.
 func (d *delegation) handleResult(res delegationResult, now time.Time) {
 	if res.isRest {
-		d.handleRest(res)
+		d.handleRest(res, now)
 		return
 	}
 	d.hasEnded, d.lateAt, d.took = true, time.Time{}, now.Sub(d.start)
-	if res.err != nil {
-		d.handleError(res.err)
-	} else {
+	switch {
+	case res.err == nil && res.reply.RetryAfterUS == 0:
 		d.outcome = fmt.Sprintf("%d of %d", res.reply.Answered.Len(), len(d.members))
-		d.planner.RecordAggregate(d.route.Name, d.took)
+		d.planner.RecordAggregate(d.route.Name, d.took, time.Duration(res.reply.EarlyUS)*time.Microsecond)
 		if !d.isGivenUp {
 			d.aggregators.Answered(d.instance)
 		}
 		d.complete(res.reply)
-		d.callRest(res.reply.Late)
+		d.callRest(res.reply.Late, now)
+	case d.handleFailure(res) && d.isNear && !d.isGivenUp:
+		d.askNext(now)
+		return
 	}
 	if d.isGivenUp {
 		return // the shards have fallen back already
 	}
 	for _, s := range d.members {
-		s.fallBack(now)
+		if !d.isGranted || !d.late.Has(s.index) {
+			s.fallBack(now)
+		}
 	}
 }
 
-// handleRest records the late parts, or why there are none. The attempts of this instance on their shards go on in either case.
-func (d *delegation) handleRest(res delegationResult) {
+// handleRest records the late parts, or why there are none. Attempts of this instance on their shards, if any, go on in either case.
+func (d *delegation) handleRest(res delegationResult, now time.Time) {
 	if res.err != nil {
 		d.outcome += ", late parts: " + res.err.Error()
+		d.endGrant(d.isAccepted || !isUnsent(res.err), now)
 		return
 	}
 	d.complete(res.reply)
+	if !d.isGranted {
+		return
+	}
+	d.isAccepted = true
+	for _, s := range d.members {
+		if d.late.Has(s.index) && !res.reply.Late.Has(s.index) && !s.isAnswered && !s.hasFailed {
+			s.fail()
+		}
+	}
+	d.callRest(res.reply.Late, now)
 }
 
-// callRest asks for the late parts, in addition to the attempts of this instance on their shards.
-func (d *delegation) callRest(late aggregator.Set) {
+// callRest asks for the late parts. A near aggregator that has answered in time is granted all attempts; otherwise this instance sends
+// an attempt of its own on each of their shards.
+func (d *delegation) callRest(late aggregator.Set, now time.Time) {
+	d.late = late
 	if late.Len() == 0 {
 		return
 	}
+	q := aggregator.RestRequest{ID: d.request.ID}
+	if d.isNear && !d.isGivenUp {
+		d.grant()
+		q.Grant, q.DueUS = true, max(1, (d.plan.Objective.Sub(now)-restMargin).Microseconds())
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), d.plan.Deadline)
 	d.cancelCall()
 	d.cancelCall = cancel
 	d.inFlight.Go(func() {
 		defer cancel()
 		res := delegationResult{delegation: d, isRest: true}
-		res.reply, res.err = d.aggregators.Rest(ctx, d.instance, d.request.ID, late)
+		res.reply, res.err = d.aggregators.Rest(ctx, d.instance, q, late)
 		d.deliver(res)
 	})
 }
@@ -218,18 +252,35 @@
 	}
 }
 
-func (d *delegation) handleError(err error) {
-	d.outcome = err.Error()
-	d.aggregators.Missed(d.instance)
-	var unsent *client.UnsentError
+// handleFailure records that the aggregator has gathered nothing, and reports whether certainly nothing was sent.
+func (d *delegation) handleFailure(res delegationResult) (unsent bool) {
 	var refused *client.RefusedError
-	if !errors.As(err, &unsent) && !errors.As(err, &refused) {
-		return
+	switch {
+	case res.err == nil:
+		d.near.retryAfter = max(d.near.retryAfter, time.Duration(res.reply.RetryAfterUS)*time.Microsecond)
+		d.outcome = "has no upstreams for " + d.near.retryAfter.String()
+	case errors.As(res.err, &refused):
+		d.outcome = res.err.Error()
+		d.aggregators.Refused(d.instance)
+	default:
+		d.outcome = res.err.Error()
+		d.aggregators.Missed(d.instance)
+	}
+	if res.err != nil && !isUnsent(res.err) {
+		return false
 	}
 	d.meter.Count("crocuswing_aggregates_refused_total")
 	for _, s := range d.members {
 		s.isSentByAggregator = false
 	}
+	return true
+}
+
+// isUnsent reports whether the error of a call shows that the other instance has not acted on it.
+func isUnsent(err error) bool {
+	var unsent *client.UnsentError
+	var refused *client.RefusedError
+	return errors.As(err, &unsent) || errors.As(err, &refused)
 }
 
 // complete records the merged parts. They replace the parts of the same shards that attempts of this instance have got meanwhile, since
@@ -281,9 +332,14 @@
 }
 
 // sendAfterDelegation sends the first attempt of this instance on a shard whose part an aggregator has not got in time. It prefers
-// upstreams outside the region of the aggregator, which may have sent the request to those near it.
+// upstreams outside the region of an aggregator in another region, which may have sent the request to those near it. An aggregator of this
+// region replies in time also if its upstreams are late, so that its silence says nothing about them.
 func (s *subrequest) sendAfterDelegation(now time.Time) {
-	r, ok := s.cluster.Pick(balancer.Retry, s.route, s.cluster.Names(s.delegatedRegion, true), s.timing())
+	var avoided []string
+	if s.delegatedRegion != s.region {
+		avoided = s.cluster.Names(s.delegatedRegion, true)
+	}
+	r, ok := s.cluster.Pick(balancer.Retry, s.route, avoided, s.timing())
 	if !ok {
 		r, ok = s.cluster.Pick(balancer.Retry, s.route, nil, s.timing())
 	}
--- a/internal/forward/runner/delegation_test.go
+++ b/internal/forward/runner/delegation_test.go
@@ -84,15 +84,17 @@
 // isDistant reports whether the shard has upstreams in the other region only.
 func isDistant(shard string) bool { return shard[2]%3 == 0 }
 
-func (r *regions) Pick(region, _ string) (membership.Member, bool) {
+func (r *regions) GathersItself() bool { return true }
+
+func (r *regions) Pick(region, _ string, _ ...string) (membership.Member, bool) {
 	until := r.avoidedUntil.Load()
 	return membership.Member{Name: "other"}, region == testbed.OtherRegion && (until == nil || time.Now().After(*until))
 }
 
-func (r *regions) Rest(ctx context.Context, _ membership.Member, id string, _ aggregator.Set) (aggregator.Reply, error) {
+func (r *regions) Rest(ctx context.Context, _ membership.Member, q aggregator.RestRequest, _ aggregator.Set) (aggregator.Reply, error) {
 	time.Sleep(crossing)
 	defer time.Sleep(crossing)
-	return r.other.AggregateRest(ctx, aggregator.RestRequest{ID: id})
+	return r.other.AggregateRest(ctx, q)
 }
 
 func (r *regions) Answered(membership.Member) { r.avoidedUntil.Store(nil) }
@@ -102,6 +104,8 @@
 	r.avoidedUntil.Store(&until)
 }
 
+func (r *regions) Refused(m membership.Member) { r.Missed(m) }
+
 func (r *regions) Gather(ctx context.Context, _ membership.Member, q aggregator.Request) (aggregator.Reply, error) {
 	r.asked.Add(1)
 	time.Sleep(crossing)
--- a/internal/forward/runner/execution.go
+++ b/internal/forward/runner/execution.go
@@ -30,16 +30,21 @@
 	revision    int64 // of the configuration
 	plan        timing.Plan
 	isAggregate bool      // gathers parts for another instance
+	isNear      bool      // the other instance is in the same region; see aggregate
+	isGranted   bool      // the other instance has granted all attempts of the route
 	isCutShort  bool      // the instance stops before the reply deadline of the request
 	wakeAt      time.Time // when the loop checks whether the reply is due, in addition to other events; zero if never
 
 	subrequests       []*subrequest
 	delegations       []*delegation
-	required          int // number of subrequests that must be answered
-	answered          int // number of subrequests that have an answer
-	failed            int // number of subrequests that have finally failed
+	required          int          // number of subrequests that must be answered
+	answered          int          // number of subrequests that have an answer
+	failed            int          // number of subrequests that have finally failed
+	refusal           *reply.Reply // the reply if the request is refused before anything was sent
 	results           chan result
 	delegationResults chan delegationResult
+	commands          chan func(now time.Time) // calls for late parts; the loop of an aggregate runs them
+	near              nearAttempts
 	done              chan struct{} // closed when results are no longer received
 }
 
@@ -72,19 +77,14 @@
 	if e.isCutShort && e.route.NonIdempotent {
 		return refused("this instance stops before the time of the request is over")
 	}
-	if available, wait := e.available(now); available < e.required {
-		return refusedFor(fmt.Sprintf("%d of %d services have an upstream that may take work", available, len(e.subrequests)), wait)
-	}
 	if !e.limiter.Acquire(len(e.subrequests), e.route.Rank) {
 		return refused("this instance has begun as much as it may")
 	}
 	defer e.limiter.Release(len(e.subrequests))
 	defer e.close()
-	for _, s := range e.subrequests {
-		s.cluster.AddRequest()
+	if !e.delegateAll(now) {
+		e.runDirectly(now)
 	}
-	e.delegateShards(now)
-	e.begin(now)
 	var rep reply.Reply
 	if !e.loop(ctx, func(now time.Time) (isDue bool) {
 		rep, isDue = e.replyIfDue(now)
@@ -95,6 +95,20 @@
 	return rep
 }
 
+// runDirectly starts the subrequests of a request that no aggregator gathers as a whole, or refuses it.
+func (e *execution) runDirectly(now time.Time) {
+	if available, wait := e.available(now); available < e.required {
+		rep := refusedFor(fmt.Sprintf("%d of %d services have an upstream that may take work", available, len(e.subrequests)), wait)
+		e.refusal = &rep
+		return
+	}
+	for _, s := range e.subrequests {
+		s.cluster.AddRequest()
+	}
+	e.delegateShards(now)
+	e.begin(now)
+}
+
 // begin sends the first attempts, except on the shards that are delegated.
 func (e *execution) begin(now time.Time) {
 	for _, s := range e.subrequests {
@@ -120,6 +134,8 @@
 			e.handleResult(res)
 		case res := <-e.delegationResults:
 			res.delegation.handleResult(res, time.Now())
+		case command := <-e.commands:
+			command(time.Now())
 		case <-timer.C:
 			e.handlePendingResults()
 			e.advanceDue(time.Now())
@@ -205,6 +221,8 @@
 // replyIfDue returns the reply if it has to be sent now.
 func (e *execution) replyIfDue(now time.Time) (reply.Reply, bool) {
 	switch {
+	case e.refusal != nil:
+		return *e.refusal, true
 	case e.answered == len(e.subrequests), e.answered >= e.required && e.answered+e.failed == len(e.subrequests):
 		return e.successReply(), true
 	case e.answered >= e.required && !now.Before(e.plan.Objective):
@@ -220,7 +238,10 @@
 // untilNextEvent returns the time until a subrequest is due or the reply has to be sent.
 func (e *execution) untilNextEvent(now time.Time) time.Duration {
 	next := e.plan.ReplyDeadline
-	if e.route.IsGather() && now.Before(e.plan.Objective) {
+	switch {
+	case e.isAggregate:
+		next = e.plan.Deadline
+	case e.route.IsGather() && now.Before(e.plan.Objective):
 		next = e.plan.Objective
 	}
 	for _, s := range e.subrequests {
--- a/internal/forward/runner/runner.go
+++ b/internal/forward/runner/runner.go
@@ -89,7 +89,7 @@
 // WithLimiter returns an option that limits the subrequests of all requests in progress together.
 func WithLimiter(l *limiter.Limiter) Option { return func(r *Runner) { r.limiter = l } }
 
-// WithAggregators returns an option that lets instances of other regions gather parts for this instance, which is in the given region.
+// WithAggregators returns an option that lets other instances gather parts for this instance, which is in the given region.
 func WithAggregators(region string, a Aggregators) Option {
 	return func(r *Runner) { r.region, r.aggregators = region, a }
 }
--- a/internal/forward/runner/subrequest.go
+++ b/internal/forward/runner/subrequest.go
@@ -22,10 +22,12 @@
 	isAnswered         bool
 	hasFailed          bool        // no further attempt is sent
 	isReported         bool        // the part is in an earlier reply of an aggregate
+	needsGrant         bool        // an aggregate may send another attempt only after a grant
 	overBudget         bool        // the retry budget refused an extra attempt
 	delegation         *delegation // gathers the part at present; nil if none does
 	delegatedRegion    string
 	isSentByAggregator bool // an upstream may have received the request from an aggregator
+	isHandedOver       bool // the aggregator was granted all attempts of the route
 	response           connection.Response
 	proof              string
 	upstreamError      *connection.Response // the latest failure that an upstream sent
@@ -68,7 +70,7 @@
 		s.sendAfterDelegation(now)
 		return
 	}
-	if s.isAggregate && !s.cluster.HasPromptReplica(s.route, s.timing()) {
+	if s.isRegional() && !s.cluster.HasPromptReplica(s.route, s.timing()) {
 		s.fail() // the instance that asked can reach the upstreams of other regions as well
 		return
 	}
@@ -83,11 +85,11 @@
 // retry sends another attempt after all earlier ones have failed.
 func (s *subrequest) retry(now time.Time) {
 	if s.countPossiblyRun() >= s.attemptLimit() {
-		s.fail()
+		s.failUnlessGrantable()
 		return
 	}
 	r, ok := s.cluster.Pick(balancer.Retry, s.route, append(s.usedReplicas(), s.outsideReplicas()...), s.timing())
-	if !ok && !s.isAggregate {
+	if !ok && !s.isRegional() {
 		// No unused replica is available. One that failed may get the request again unless the route is non-idempotent.
 		r, ok = s.cluster.Pick(balancer.Retry, s.route, s.excludedReplicas(), s.timing())
 	}
@@ -104,7 +106,7 @@
 
 // recheckOrFail schedules a recheck if an upstream may accept the request in time. Otherwise the subrequest fails.
 func (s *subrequest) recheckOrFail(now time.Time) {
-	if from, ok := s.cluster.CanServe(s.route); ok && !s.isAggregate && from.Before(s.latestUse()) {
+	if from, ok := s.cluster.CanServe(s.route); ok && !s.isRegional() && from.Before(s.latestUse()) {
 		s.scheduleRecheck(now)
 		return
 	}
@@ -126,7 +128,7 @@
 		s.dueAt = late
 		return
 	}
-	if s.isAggregate {
+	if s.isRegional() {
 		return // the instance that asked sends the hedge
 	}
 	defer slow.gate.hold()()
@@ -134,6 +136,7 @@
 		return
 	}
 	if s.countPossiblyRun() >= s.attemptLimit() {
+		s.needsGrant = s.canBeGranted()
 		return
 	}
 	purpose := balancer.Hedge
@@ -169,7 +172,7 @@
 // outsideReplicas returns the names of the replicas that must not get the request from this instance: for an aggregate, those in other
 // regions.
 func (s *subrequest) outsideReplicas() []string {
-	if !s.isAggregate {
+	if !s.isRegional() {
 		return nil
 	}
 	return s.cluster.Names(s.region, false)
@@ -201,6 +204,29 @@
 	})
 }
 
+// isRegional reports whether the subrequest goes only to upstreams of this region, on behalf of an instance of another one.
+func (s *subrequest) isRegional() bool { return s.isAggregate && !s.isNear }
+
+// canBeGranted reports whether a grant would permit more attempts.
+func (s *subrequest) canBeGranted() bool { return s.isNear && !s.isGranted }
+
+// failUnlessGrantable fails the subrequest, or leaves it to a grant if one can permit another attempt.
+func (s *subrequest) failUnlessGrantable() {
+	if s.canBeGranted() {
+		s.needsGrant = true
+		return
+	}
+	s.fail()
+}
+
+// useGrant goes on with a subrequest that waits for the grant.
+func (s *subrequest) useGrant(now time.Time) {
+	if s.needsGrant {
+		s.needsGrant = false
+		s.advance(now)
+	}
+}
+
 // cancel cancels the attempts in flight and reports whether any attempt may have run. An attempt that has not been sent yet
 // never will be.
 func (s *subrequest) cancel() (mayHaveRun bool) {
@@ -227,4 +253,3 @@
 		}
 	}
 }
-
--- a/internal/forward/timing/timing.go
+++ b/internal/forward/timing/timing.go
@@ -44,7 +44,7 @@
 // routeLatency holds what was observed on the requests of one route.
 type routeLatency struct {
 	latencies  [balancer.OtherRegion + 1]window.Window
-	aggregates window.Window // latencies of aggregators
+	aggregates window.Window // latencies of aggregators if parts are late
 	maxTimeout time.Duration // longest that a caller has stated
 }
 
@@ -125,9 +125,10 @@
 	p.route(route).latencies[at].Add(d)
 }
 
-// RecordAggregate records the latency of an answer of an aggregator.
-func (p *Planner) RecordAggregate(route string, d time.Duration) {
-	p.route(route).aggregates.Add(d)
+// RecordAggregate records the latency of an answer of an aggregator, and the time by which it came earlier than with late parts. The sum
+// is recorded: otherwise, while no part is late, an aggregator would soon count as silent as soon as one is.
+func (p *Planner) RecordAggregate(route string, d, early time.Duration) {
+	p.route(route).aggregates.Add(d + min(max(0, early), defaultTimeout))
 }
 
 func (p *Planner) route(name string) *routeLatency {
--- a/internal/routing/table/table.go
+++ b/internal/routing/table/table.go
@@ -18,6 +18,7 @@
 	hosts              map[string][]*route.Route // longest prefix first
 	services           map[string]service.Service
 	idempotentServices []string
+	gatheredServices   map[string]bool
 }
 
 // New returns the table of a configuration revision.
@@ -45,6 +46,7 @@
 	for _, s := range services {
 		t.services[s.Name] = s
 	}
+	t.gatheredServices = gatheredServices(routes)
 	maps.DeleteFunc(isIdempotent, func(_ string, idempotent bool) bool { return !idempotent })
 	t.idempotentServices = slices.Sorted(maps.Keys(isIdempotent))
 	return t
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -106,7 +106,8 @@
 	g.follower = follower.New(source, pollInterval, g.log, follower.WithViewObserver(g.updateView), follower.WithCounter(g.metrics.Count))
 	g.follower.SetReportInterval(s.ReportInterval)
 	g.membership.SetFailureDomain(s.FailureDomain)
-	g.aggregators = aggregator.New(g.membership, s.Regions)
+	g.membership.SetCapacity(s.Capacity)
+	g.aggregators = aggregator.New(g.membership, s.Regions, aggregator.WithConcentration(g.catalog.GatheredConnections, g.catalog.SetAggregators, g.log))
 	g.runner = runner.New(p.Protocol, g.catalog, g.follower, latencyHistory, g.metrics, g.log, runner.WithLimiter(g.subrequests),
 		runner.WithAggregators(s.Region, g.aggregators))
 	g.handler = g.limitRequests(p.NewHandler(g.runner))
@@ -126,6 +127,7 @@
 	g.applyLimits(s)
 	g.follower.SetReportInterval(s.ReportInterval)
 	g.membership.SetSeeds(s.Seeds)
+	g.membership.SetCapacity(s.Capacity)
 	g.aggregators.SetRegions(s.Regions)
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
 }
@@ -186,7 +188,7 @@
 	return err
 }
 
-// aggregate handles the call of an instance of another region that asks for parts.
+// aggregate handles the call of another instance that asks for parts.
 func (g *Gateway) aggregate(ctx context.Context, body []byte) (any, error) {
 	var q aggregator.Request
 	if err := msgpack.Unmarshal(body, &q); err != nil {
--- a/internal/settings/deployment/deployment.go
+++ b/internal/settings/deployment/deployment.go
@@ -37,6 +37,8 @@
 	MemoryBytes  int64
 	// MaxSockets is the maximum number of open sockets of the process, or 0 if there is no limit.
 	MaxSockets int
+	// Capacity is the processor time of the instance in thousandths of a core, or 0 if unknown.
+	Capacity int
 	Bounds
 }
 
@@ -107,6 +109,9 @@
 	if s.MemoryBytes < 0 || s.MemoryBytes > MaxMemoryBytes {
 		return &Error{Key: "memory", Reason: fmt.Sprintf("is %d bytes, want 0 to %d", s.MemoryBytes, int64(MaxMemoryBytes))}
 	}
+	if s.Capacity < 0 || s.Capacity > MaxCount {
+		return &Error{Key: "capacity", Reason: fmt.Sprintf("want 0 to %d thousandths of a core", MaxCount)}
+	}
 	return s.check()
 }
 
--- a/internal/upstream/catalog/catalog.go
+++ b/internal/upstream/catalog/catalog.go
@@ -28,6 +28,9 @@
 	// connections per second keeps the instance and its upstreams free for requests.
 	preconnectBatch    = 20
 	preconnectInterval = 50 * time.Millisecond
+	// aggregatorPreconnected is the number of connections that an aggregator keeps open to each upstream, so that a request does not wait
+	// for a new one while another is in progress.
+	aggregatorPreconnected = 2
 	// usableFraction reserves a part of the shared limits for instances that are not known yet.
 	usableFraction = 0.85
 	// defaultConnections is the connection limit per upstream until the limit of its service is known.
@@ -45,6 +48,10 @@
 	view              *state.View
 	instances         int // number of instances that share the upstreams
 	linkOptions       []link.Option
+	// aggregators is the number of instances that share the connections to the upstreams of gathered services, 0 if all do, and
+	// isAggregator reports whether this instance is one of them.
+	aggregators  int
+	isAggregator bool
 }
 
 // Option configures a Catalog.
@@ -86,6 +93,7 @@
 		cl.SetDrainTime(c.settings.DrainTime)
 		cl.SetConnections(c.connectionShare(service))
 		cl.SetSubsetFraction(c.subsetFraction(service))
+		cl.SetPreconnected(c.preconnected(service))
 		cl.SetExcludedDomains(c.view.ExcludedDomains)
 		cl.SetColdRate(c.coldRate(service))
 		c.clusters[service] = cl
@@ -131,6 +139,54 @@
 	}
 }
 
+// SetAggregators divides the connections and the cold rates of the upstreams of gathered services among n instances, of which this one
+// may be one. With 0, all instances share them.
+func (c *Catalog) SetAggregators(n int, isSelf bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n != c.aggregators || isSelf != c.isAggregator {
+		c.aggregators, c.isAggregator = n, isSelf
+		c.updateShares()
+	}
+}
+
+// GatheredConnections returns the number of connections that all instances together may open to each upstream of the gathered services,
+// the lowest of all services, or 0 if there are none or the limit is unknown.
+func (c *Catalog) GatheredConnections() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.view.Table == nil {
+		return 0
+	}
+	lowest := 0
+	for _, name := range c.view.Table.GatheredServices() {
+		s, _ := c.view.Table.Service(name)
+		if s.MaxConnections > 0 && (lowest == 0 || s.MaxConnections < lowest) {
+			lowest = s.MaxConnections
+		}
+	}
+	return usableFraction * float64(lowest)
+}
+
+// shareOf returns the part of a limit of the upstreams of a service that this instance may use.
+func (c *Catalog) shareOf(limit float64, service string) float64 {
+	switch {
+	case c.aggregators == 0 || c.view.Table == nil || !c.view.Table.IsGathered(service):
+		return limit / float64(c.instances)
+	case !c.isAggregator:
+		return 0
+	}
+	return limit / float64(c.aggregators)
+}
+
+// preconnected returns the number of connections that are kept open to each upstream of a service.
+func (c *Catalog) preconnected(service string) int {
+	if c.aggregators > 0 && c.view.Table != nil && c.view.Table.IsGathered(service) {
+		return aggregatorPreconnected
+	}
+	return 1
+}
+
 // updateShares applies this instance's shares of the limits to all clusters and links.
 func (c *Catalog) updateShares() {
 	for name, cl := range c.clusters {
@@ -139,6 +195,7 @@
 		cl.SetDrainTime(c.settings.DrainTime)
 		cl.SetConnections(c.connectionShare(name))
 		cl.SetSubsetFraction(c.subsetFraction(name))
+		cl.SetPreconnected(c.preconnected(name))
 		for _, r := range cl.Replicas() {
 			r.Link().SetMaxConnections(c.connectionShare(name))
 		}
@@ -172,7 +229,7 @@
 	return min(1, perInstance)
 }
 
-// connectionsPerInstance returns the connection limit of an upstream of the service divided by the number of instances, and
+// connectionsPerInstance returns this instance's share of the connection limit of an upstream of the service, as a fraction, and
 // false if the limit is unknown.
 func (c *Catalog) connectionsPerInstance(service string) (float64, bool) {
 	if c.view.Table == nil {
@@ -182,7 +239,7 @@
 	if !ok || s.MaxConnections <= 0 {
 		return 0, false
 	}
-	return usableFraction * float64(s.MaxConnections) / float64(c.instances), true
+	return c.shareOf(usableFraction*float64(s.MaxConnections), service), true
 }
 
 // coldRate returns this instance's share of the requests per second to a cold upstream; negative for no limit.
@@ -195,7 +252,7 @@
 		return -1
 	}
 	total := s.ColdRate*c.settings.ColdFactor + float64(c.settings.ColdSlack)
-	return int(math.Floor(total / float64(c.instances)))
+	return int(math.Floor(c.shareOf(total, service)))
 }
 
 func (c *Catalog) distance(r registration.Registration, region string) balancer.Distance {
--- a/internal/upstream/cluster/cluster.go
+++ b/internal/upstream/cluster/cluster.go
@@ -60,6 +60,7 @@
 	instance       string
 	connections    int     // connections of this instance to each replica
 	subsetFraction float64 // fraction of the replicas to which this instance keeps connections
+	preconnected   int     // connections that are opened in advance to each of them
 	subsetUpdated  time.Time
 }
 
@@ -74,7 +75,7 @@
 
 // New returns an empty cluster. Its extra attempts are taken from budget.
 func New(name string, h *history.History, budget *retrybudget.Budget, options ...Option) *Cluster {
-	c := &Cluster{name: name, history: h, Budget: budget, coldRate: -1, subsetFraction: 1, departures: departure.New()}
+	c := &Cluster{name: name, history: h, Budget: budget, coldRate: -1, subsetFraction: 1, preconnected: 1, departures: departure.New()}
 	for _, option := range options {
 		option(c)
 	}
@@ -123,7 +124,14 @@
 	c.drainTime = d
 }
 
-// SetSubsetFraction sets the fraction of the replicas to which this instance keeps connections, at least one replica. Each
+// SetPreconnected sets the number of connections that are opened in advance to each replica, 1 by default.
+func (c *Cluster) SetPreconnected(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.preconnected = n
+}
+
+// SetSubsetFraction sets the fraction of the replicas to which this instance keeps connections, at least one replica unless it is 0. Each
 // attempt on a replica outside this subset opens its own connection.
 func (c *Cluster) SetSubsetFraction(fraction float64) {
 	c.mu.Lock()
@@ -215,6 +223,9 @@
 		return
 	}
 	left := max(1, int(c.subsetFraction*float64(len(c.replicas))))
+	if c.subsetFraction <= 0 {
+		left = 0
+	}
 	for _, r := range c.replicas {
 		isKept := left > 0 && c.isUsable(r, now)
 		if isKept {
@@ -466,7 +477,7 @@
 	return false
 }
 
-// Preconnect starts to open connections to at most limit replicas without one, and returns the number of dials started.
+// Preconnect starts to open a connection to each of at most limit replicas that have fewer than are opened in advance, and returns the number of dials started.
 func (c *Cluster) Preconnect(limit int) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -481,7 +492,7 @@
 			continue
 		}
 		r.preconnectedAt = now
-		if r.link.Preconnect() {
+		if r.link.Preconnect(c.preconnected) {
 			opened++
 		}
 	}
--- a/internal/upstream/link/link.go
+++ b/internal/upstream/link/link.go
@@ -124,8 +124,8 @@
 // SetDraining sets whether new requests are refused; requests in flight finish.
 func (l *Link) SetDraining(draining bool) { l.pool.SetDraining(draining) }
 
-// Preconnect starts to open a connection if there is none, and reports whether it did.
-func (l *Link) Preconnect() bool { return l.pool.Preconnect() }
+// Preconnect starts to open a connection if there are fewer than n, and reports whether it did.
+func (l *Link) Preconnect(n int) bool { return l.pool.Preconnect(n) }
 
 // HasCapacity reports whether a request would get a connection without waiting for another request to end.
 func (l *Link) HasCapacity() bool { return l.pool.HasCapacity() }
--- a/internal/upstream/pool/pool.go
+++ b/internal/upstream/pool/pool.go
@@ -134,12 +134,12 @@
 	return nil, granted, nil
 }
 
-// Preconnect starts to dial a connection if there is none, so that a later request does not wait for the dial. It reports whether
-// a dial was started.
-func (p *Pool) Preconnect() bool {
+// Preconnect starts to dial a connection if there are fewer than n, so that a later request does not wait for the dial. It reports
+// whether a dial was started.
+func (p *Pool) Preconnect(n int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.connections() > 0 || !p.canOpen() {
+	if p.connections() >= n || !p.canOpen() {
 		return false
 	}
 	p.dialing++
--- a/internal/upstream/pool/pool_test.go
+++ b/internal/upstream/pool/pool_test.go
@@ -163,7 +163,7 @@
 				_ = server.Close()
 				return resetConn{client}, nil
 			})
-			require.True(t, p.Preconnect())
+			require.True(t, p.Preconnect(1))
 			synctest.Wait()
 			require.Zero(t, p.Stats().Connections)
 			p.Close()
