--- a/internal/forward/runner/explain.go
+++ b/internal/forward/runner/explain.go
@@ -79,7 +79,9 @@
 
 // explainRefusal records why the request would be refused at its arrival.
 func (e *execution) explainRefusal(rep *routereport.Report) {
-	if refusal, isRefused := e.refusal(e.request.Arrived); isRefused {
+	if refusal, isRefused := e.refuseLate(e.request.Arrived); isRefused {
+		rep.Refusal = reportRefusal(refusal)
+	} else if refusal, isRefused := e.refuseShort(e.request.Arrived); isRefused {
 		rep.Refusal = reportRefusal(refusal)
 	} else if !e.limiter.Fits(e.unitCount(), e.route.Rank) {
 		rep.Refusal = reportRefusal(refused(reasonFull))
--- a/internal/routing/table/table.go
+++ b/internal/routing/table/table.go
@@ -20,6 +20,7 @@
 	services           map[string]service.Service
 	idempotentServices []string
 	workspaces         *directory.Directory // nil if the configuration has none
+	gatheredServices   map[string]bool
 }
 
 // Option configures a Table.
@@ -53,6 +54,7 @@
 	for _, s := range services {
 		t.services[s.Name] = s
 	}
+	t.gatheredServices = gatheredServices(routes)
 	maps.DeleteFunc(isIdempotent, func(_ string, idempotent bool) bool { return !idempotent })
 	t.idempotentServices = slices.Sorted(maps.Keys(isIdempotent))
 	for _, o := range options {
--- a/internal/settings/deployment/deployment.go
+++ b/internal/settings/deployment/deployment.go
@@ -41,6 +41,8 @@
 	MaxSockets int
 	// CrossingPrice is the waiting that a request has to save for each KiB of its response before it leaves the failure domain.
 	CrossingPrice time.Duration
+	// Capacity is the processor time of the instance in thousandths of a core, or 0 if unknown.
+	Capacity int
 	Bounds
 }
 
@@ -125,6 +127,9 @@
 	if s.CrossingPrice < 0 || s.CrossingPrice > MaxCrossingPrice {
 		return &Error{Key: "crossing-price", Reason: fmt.Sprintf("is %v, want 0 to %v", s.CrossingPrice, MaxCrossingPrice)}
 	}
+	if s.Capacity < 0 || s.Capacity > MaxCount {
+		return &Error{Key: "capacity", Reason: fmt.Sprintf("want 0 to %d thousandths of a core", MaxCount)}
+	}
 	return s.check()
 }
 
--- a/internal/upstream/cluster/cluster.go
+++ b/internal/upstream/cluster/cluster.go
@@ -36,6 +36,7 @@
 	instance       string
 	connections    int     // connections of this instance to each replica
 	subsetFraction float64 // fraction of the replicas to which this instance keeps connections
+	preconnected   int     // connections that are opened in advance to each of them
 	subsetUpdated  time.Time
 	intn           func(n int) int // random number in [0, n)
 	withoutShares  bool
@@ -56,7 +57,7 @@
 
 // New returns an empty cluster. Its extra attempts are taken from budget.
 func New(name string, h *history.History, budget *retrybudget.Budget, options ...Option) *Cluster {
-	c := &Cluster{name: name, history: h, Budget: budget, subsetFraction: 1, departures: departure.New(), intn: rand.IntN}
+	c := &Cluster{name: name, history: h, Budget: budget, subsetFraction: 1, preconnected: 1, departures: departure.New(), intn: rand.IntN}
 	for _, option := range options {
 		option(c)
 	}
@@ -98,7 +99,14 @@
 	c.drainTime = d
 }
 
-// SetSubsetFraction sets the fraction of the replicas to which this instance keeps connections, at least one replica. Each
+// SetPreconnected sets the number of connections that are opened in advance to each replica, 1 by default.
+func (c *Cluster) SetPreconnected(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.preconnected = n
+}
+
+// SetSubsetFraction sets the fraction of the replicas to which this instance keeps connections, at least one replica unless it is 0. Each
 // attempt on a replica outside this subset opens its own connection.
 func (c *Cluster) SetSubsetFraction(fraction float64) {
 	c.mu.Lock()
--- a/internal/upstream/cluster/subset.go
+++ b/internal/upstream/cluster/subset.go
@@ -41,6 +41,9 @@
 		return
 	}
 	left := max(1, int(c.subsetFraction*float64(len(c.replicas))))
+	if c.subsetFraction <= 0 {
+		left = 0
+	}
 	for _, r := range c.replicas {
 		isKept := left > 0 && c.isUsable(r, now)
 		if isKept {
@@ -57,7 +60,8 @@
 		c.history.Get(r.Name(), now).Misses < failingMisses
 }
 
-// Preconnect starts to open connections to at most limit replicas without one, and returns the number of dials started.
+// Preconnect starts to open a connection to each of at most limit replicas that have fewer than are opened in advance, and returns the
+// number of dials started.
 func (c *Cluster) Preconnect(limit int) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -72,7 +76,7 @@
 			continue
 		}
 		r.preconnectedAt = now
-		if r.link.Preconnect() {
+		if r.link.Preconnect(c.preconnected) {
 			opened++
 		}
 	}
