feat(forward): the margin of a reply covers the round trip to distant callers

Cause: on the uneven deployment callers are 3 ms away, so that answers that leave 5 ms before the objective arrive after it (p50 of 140 ms in the seconds with slow upstreams, objective 150 ms). The timeout that a caller states on a new connection lacks the time that it took to connect, a round trip; the mean of these is added to the objective's margin.

--- a/internal/forward/timing/timing.go
+++ b/internal/forward/timing/timing.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// replyMargin is the time reserved for a reply to pass through this process and reach the caller.
+	// replyMargin is the least time reserved for a reply to pass through this process and reach the caller.
 	replyMargin = 5 * time.Millisecond
 	// The hedge delay is the low quantile of the recent latencies, plus spreadFactor times the difference between it and the
 	// median, plus jitterMargin. Unlike a high quantile, both quantiles remain accurate while some of the upstreams are slow.
@@ -37,8 +37,9 @@
 
 // Planner keeps the recent latencies of the attempts of each route, by distance. It is safe for concurrent use.
 type Planner struct {
-	mu     sync.Mutex
-	routes map[string]*routeLatency
+	mu      sync.Mutex
+	routes  map[string]*routeLatency
+	callers callerPath
 }
 
 // routeLatency holds what was observed on the requests of one route.
@@ -79,28 +80,30 @@
 	l.maxTimeout = max(l.maxTimeout, req.Timeout)
 	spent := time.Duration(0)
 	if req.Timeout > 0 {
-		spent = l.maxTimeout - req.Timeout
+		spent = l.fullTimeout(r) - req.Timeout
 	}
-	if spent >= r.Objective-replyMargin {
+	p.callers.record(spent)
+	margin := p.callers.margin()
+	p.mu.Unlock()
+	if spent >= r.Objective-margin {
 		spent = 0
 	}
-	p.mu.Unlock()
-	return l.plan(req, r, spent)
+	return l.plan(req, r, spent, margin)
 }
 
 // Peek returns the plan for a request whose caller states no timeout, like Plan but without recording the request.
 func (p *Planner) Peek(req request.Request, r *route.Route) Plan {
 	p.mu.Lock()
-	l := p.routes[r.Name]
+	l, margin := p.routes[r.Name], p.callers.margin()
 	p.mu.Unlock()
 	if l == nil {
 		l = &routeLatency{}
 	}
-	return l.plan(req, r, 0)
+	return l.plan(req, r, 0, margin)
 }
 
-// plan returns the plan for a request of which the caller has already spent some time.
-func (l *routeLatency) plan(req request.Request, r *route.Route, spent time.Duration) Plan {
+// plan returns the plan for a request of which the caller has already spent some time. The margin covers the way from and to the caller.
+func (l *routeLatency) plan(req request.Request, r *route.Route, spent, margin time.Duration) Plan {
 	timeout := defaultTimeout
 	for _, d := range []time.Duration{req.Timeout, r.Timeout} {
 		if d > 0 {
@@ -109,8 +112,8 @@
 	}
 	deadline := req.Arrived.Add(timeout)
 	plan := Plan{
-		Objective:     req.Arrived.Add(r.Objective - spent - replyMargin),
-		ReplyDeadline: deadline.Add(-min(replyMargin, timeout/4)),
+		Objective:     req.Arrived.Add(r.Objective - spent - margin),
+		ReplyDeadline: deadline.Add(-min(margin, timeout/4)),
 		Deadline:      deadline,
 	}
 	plan.HedgeDelays, plan.ExtraLatency = l.hedgeDelays(r.Objective)
--- a/internal/forward/timing/timing_test.go
+++ b/internal/forward/timing/timing_test.go
@@ -91,3 +91,33 @@
 	require.Equal(t, end, cut.ReplyDeadline)
 	require.Equal(t, end.Add(replyMargin), cut.Deadline)
 }
+
+// TestDistantCallers guards against replies that leave at the objective and reach distant callers after it: the margin covers the round trip,
+// which is known from the timeouts of callers that opened a connection, and is not lengthened by callers that repeat a request.
+func TestDistantCallers(t *testing.T) {
+	const roundTrip = 8 * time.Millisecond
+	for _, c := range []struct {
+		name  string
+		lacks []time.Duration // what the timeouts lack of the full one
+		want  time.Duration   // margin
+	}{
+		{"no caller yet", nil, replyMargin},
+		{"connections are reused", []time.Duration{0, 0, 0}, replyMargin},
+		{"near", []time.Duration{0, 2 * time.Millisecond}, replyMargin},
+		{"distant", []time.Duration{0, roundTrip, 0, roundTrip}, roundTrip + processingMargin},
+		{"never the full timeout", []time.Duration{roundTrip, roundTrip}, roundTrip + processingMargin},
+		{"repeated requests", []time.Duration{0, roundTrip, 80 * time.Millisecond, 500 * time.Millisecond}, roundTrip + processingMargin},
+		{"calls between instances", []time.Duration{0, roundTrip, 200 * time.Microsecond, 300 * time.Microsecond}, roundTrip + processingMargin},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, rt := New(), &route.Route{Name: "r", Objective: 150 * time.Millisecond, Timeout: 1500 * time.Millisecond}
+			for _, lack := range c.lacks {
+				p.Plan(request.Request{Arrived: time.Now(), Timeout: rt.Timeout - lack}, rt)
+			}
+			now := time.Now()
+			plan := p.Plan(request.Request{Arrived: now, Timeout: rt.Timeout}, rt)
+			require.Equal(t, rt.Objective-c.want, plan.Objective.Sub(now))
+			require.Equal(t, rt.Timeout-c.want, plan.ReplyDeadline.Sub(now))
+		})
+	}
+}
