fix(forward): late parts of an aggregator arrive by the objective

Cause: the time after which the reply with late parts is due counts from its arrival at the aggregator, so that the reply came back two ways later than meant, 6 to 8 ms between failure domains, after the objective. The first reply states how long it took there; the rest of its time is the way.

--- a/internal/forward/aggregator/message.go
+++ b/internal/forward/aggregator/message.go
@@ -49,6 +49,8 @@
 	Late Set `msgpack:"l,omitempty"`
 	// EarlyUS is the time in microseconds by which the reply precedes the time at which it would have been due with parts late.
 	EarlyUS int64 `msgpack:"y,omitempty"`
+	// TookUS is the time in microseconds from the arrival of the call to the reply. The rest of the time that the call takes is the way.
+	TookUS int64 `msgpack:"t,omitempty"`
 	// RetryAfterUS is the time in microseconds after which the request may be repeated, if the instance could serve fewer parts than an
 	// answer needs; 0 otherwise. Nothing was sent then.
 	RetryAfterUS int64 `msgpack:"w,omitempty"`
--- a/internal/forward/runner/aggregate.go
+++ b/internal/forward/runner/aggregate.go
@@ -139,6 +139,7 @@
 	isRunning := a.loop(ctx, a.isFirstDue)
 	first := a.reply()
 	first.EarlyUS = max(0, time.Until(a.firstDue).Microseconds())
+	first.TookUS = time.Since(a.request.Arrived).Microseconds()
 	a.log.Info("aggregate", zap.String("request-id", a.request.ID), zap.String("route", a.route.Name), zap.Int64("revision", a.revision),
 		zap.Int("shards", len(a.subrequests)), zap.Int("answered", first.Answered.Len()), zap.Int("late", first.Late.Len()),
 		zap.Duration("took", time.Since(a.request.Arrived)), zap.String("attempts", a.describe()))
--- a/internal/forward/runner/delegation.go
+++ b/internal/forward/runner/delegation.go
@@ -58,6 +58,7 @@
 	hasEnded  bool
 	outcome   string
 	took      time.Duration
+	roundTrip time.Duration // of the call, without the time at the aggregator
 }
 
 // delegationResult is the outcome of the call to an aggregator.
@@ -186,6 +187,7 @@
 			d.aggregators.Answered(d.instance)
 		}
 		d.complete(res.reply)
+		d.roundTrip = max(0, d.took-time.Duration(res.reply.TookUS)*time.Microsecond)
 		d.callRest(res.reply.Late, now)
 	case d.handleFailure(res) && d.isNear && !d.isGivenUp:
 		d.askNext(now)
@@ -231,7 +233,7 @@
 	q := aggregator.RestRequest{ID: d.request.ID}
 	if d.isNear && !d.isGivenUp {
 		d.grant()
-		q.Grant, q.DueUS = true, max(1, (d.plan.Objective.Sub(now)-restMargin).Microseconds())
+		q.Grant, q.DueUS = true, max(1, (d.plan.Objective.Sub(now)-d.roundTrip-restMargin).Microseconds())
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), d.plan.Deadline)
 	d.cancelCall()
--- a/internal/forward/runner/near.go
+++ b/internal/forward/runner/near.go
@@ -7,9 +7,8 @@
 const (
 	// maxNearTries is the number of aggregators of this region that a request asks before this instance gathers its parts itself.
 	maxNearTries = 2
-	// restMargin is the time before the objective at which the late parts are due at a near aggregator. One way between failure domains of
-	// a region takes about 3 ms; the rest is for scheduling.
-	restMargin = 5 * time.Millisecond
+	// restMargin is the time before the objective, in addition to a round trip, at which the late parts are due at a near aggregator.
+	restMargin = 2 * time.Millisecond
 )
 
 // nearAttempts is the state of a request whose shards are all handed to an aggregator of this region. The aggregator counts the request
