feat(catalog): aggregators have half of the extra attempts on gathered services

Cause: with equal parts of the slack an aggregator of 59 instances had 2.3 extra attempts in 10 s, while it sends the hedges of five instances. Half of the slack stays divided among all instances, for the shards of an aggregator that does not answer. An instance that does not know the fleet has no share of an aggregator, since it may know too few of them.

--- a/internal/upstream/catalog/catalog.go
+++ b/internal/upstream/catalog/catalog.go
@@ -31,6 +31,9 @@
 	// aggregatorPreconnected is the number of connections that an aggregator keeps open to each upstream, so that a request does not wait
 	// for a new one while another is in progress.
 	aggregatorPreconnected = 2
+	// fallbackShare is the part of the extra attempts on gathered services that all instances share, for the shards of an aggregator that
+	// does not answer. The rest is for the hedges and retries of the aggregators.
+	fallbackShare = 0.5
 	// usableFraction reserves a part of the shared limits for instances that are not known yet.
 	usableFraction = 0.85
 	// unknownInstances is the number of instances that an instance assumes while it does not know the fleet, the largest one of the design:
@@ -98,7 +101,7 @@
 func (c *Catalog) cluster(service string) *cluster.Cluster {
 	cl, ok := c.clusters[service]
 	if !ok {
-		cl = cluster.New(service, c.history, retrybudget.New(c.extraRatio(), c.extraSlack(), c.settings.ExtraWindow), cluster.WithInstance(c.settings.Instance), cluster.WithDepartures(c.departures))
+		cl = cluster.New(service, c.history, retrybudget.New(c.extraRatio(), c.extraSlack(service), c.settings.ExtraWindow), cluster.WithInstance(c.settings.Instance), cluster.WithDepartures(c.departures))
 		cl.SetDrainTime(c.settings.DrainTime)
 		cl.SetConnections(c.connectionShare(service))
 		cl.SetSubsetFraction(c.subsetFraction(service))
@@ -189,10 +192,17 @@
 	return usableFraction * float64(lowest)
 }
 
+// isConcentrated reports whether the requests to a service come from the aggregators only. While the fleet is not known, this instance may
+// know too few aggregators, whose shares would be too large.
+func (c *Catalog) isConcentrated(service string) bool {
+	isKnown := c.division != nil || c.instances != unknownInstances
+	return c.aggregators > 0 && isKnown && c.view.Table != nil && c.view.Table.IsGathered(service)
+}
+
 // shareOf returns the part of a limit of the upstreams of a service that this instance may use.
 func (c *Catalog) shareOf(limit float64, service string) float64 {
 	switch {
-	case c.aggregators == 0 || c.view.Table == nil || !c.view.Table.IsGathered(service):
+	case !c.isConcentrated(service):
 		return limit / float64(c.instances)
 	case !c.isAggregator:
 		return 0
@@ -202,7 +212,7 @@
 
 // preconnected returns the number of connections that are kept open to each upstream of a service.
 func (c *Catalog) preconnected(service string) int {
-	if c.aggregators > 0 && c.view.Table != nil && c.view.Table.IsGathered(service) {
+	if c.isConcentrated(service) {
 		return aggregatorPreconnected
 	}
 	return 1
@@ -211,7 +221,7 @@
 // updateShares applies this instance's shares of the limits to all clusters and links.
 func (c *Catalog) updateShares() {
 	for name, cl := range c.clusters {
-		cl.SetBounds(c.extraRatio(), c.extraSlack())
+		cl.SetBounds(c.extraRatio(), c.extraSlack(name))
 		cl.SetColdShare(c.coldShare(name))
 		cl.SetCrossing(c.settings.CrossingPrice, len(c.settings.Regions))
 		cl.SetDrainTime(c.settings.DrainTime)
@@ -227,9 +237,18 @@
 // extraRatio returns the number of extra attempts permitted for each request.
 func (c *Catalog) extraRatio() float64 { return usableFraction * c.settings.ExtraRatio }
 
-// extraSlack returns this instance's share of the extra attempts permitted on top of the ratio.
-func (c *Catalog) extraSlack() float64 {
-	return usableFraction * float64(c.settings.ExtraSlack) / float64(c.instances)
+// extraSlack returns this instance's share of the extra attempts on a service that are permitted on top of the ratio.
+func (c *Catalog) extraSlack(service string) float64 {
+	total := usableFraction * float64(c.settings.ExtraSlack)
+	equal := total / float64(c.instances)
+	if !c.isConcentrated(service) {
+		return equal
+	}
+	share := fallbackShare * equal
+	if c.isAggregator {
+		share += (1 - fallbackShare) * total / float64(c.aggregators)
+	}
+	return share
 }
 
 // connectionShare returns this instance's share of the connection limit of an upstream of the service, at least 1.
--- a/internal/upstream/catalog/share_test.go
+++ b/internal/upstream/catalog/share_test.go
@@ -54,4 +54,17 @@
 
 	c.SetAggregators(0, false)
 	require.Equal(t, flat, shareOf("s0"))
+
+	slack := func(service string) float64 { return c.extraSlack(service) }
+	c.SetAggregators(11, true)
+	aggregator := slack("s0")
+	require.InDelta(t, 0.85*58/59, slack("both"), 1e-9)
+	c.SetAggregators(11, false)
+	require.Less(t, slack("s0"), aggregator, "aggregators send the hedges")
+	require.InDelta(t, 0.85*58, 11*aggregator+48*slack("s0"), 1e-9, "all instances together use the permitted slack")
+
+	c.SetFleet(nil)
+	c.SetAggregators(2, true)
+	require.Less(t, slack("s0"), 0.02, "an instance that does not know the fleet may know too few aggregators")
+	require.Equal(t, 1, c.connectionShare("s0"))
 }
