--- a/internal/published/follower/follower.go
+++ b/internal/published/follower/follower.go
@@ -210,6 +210,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, fullTimeout)
 	defer cancel()
+	if !f.hasView {
+		return f.readInitial(ctx)
+	}
 	f.count(`crocuswing_store_reads_total{kind="whole"}`)
 	return f.source.Read(ctx)
 }
--- a/internal/upstream/catalog/catalog.go
+++ b/internal/upstream/catalog/catalog.go
@@ -21,6 +21,8 @@
 	"crocuswing/internal/upstream/cluster"
 	"crocuswing/internal/upstream/departure"
 	"crocuswing/internal/upstream/link"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -336,16 +338,22 @@
 	}
 }
 
-// clustersToPreconnect returns the clusters to which connections are opened in advance.
+// clustersToPreconnect returns the clusters to which connections are opened in advance. Each instance begins with another one, so that
+// instances that start together do not all connect to the same upstreams first.
 func (c *Catalog) clustersToPreconnect() []*cluster.Cluster {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.view.Table == nil {
 		return nil
 	}
-	var clusters []*cluster.Cluster
-	for _, name := range c.view.Table.IdempotentServices() {
-		clusters = append(clusters, c.cluster(name))
+	names := c.view.Table.IdempotentServices()
+	if len(names) == 0 {
+		return nil
+	}
+	clusters := make([]*cluster.Cluster, 0, len(names))
+	first := int(xxhash.Sum64String(c.settings.Instance) % uint64(len(names)))
+	for i := range names {
+		clusters = append(clusters, c.cluster(names[(first+i)%len(names)]))
 	}
 	return clusters
 }
