--- a/internal/workspace/enforcer/enforcer_test.go
+++ b/internal/workspace/enforcer/enforcer_test.go
@@ -143,6 +143,35 @@
 	}
 }
 
+// TestPartition cuts a fleet into halves for so long that each counts the other as gone, under a load of 7.5 times the ordinary at all
+// instances, and heals it. The halves together must stay within the bound, and each must serve on.
+func TestPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &workspace.Workspace{Name: "large", Quota: workspace.Quota{Rate: 20, Burst: 20}}
+		f := newFleet(t, 8, 9, w)
+		defer synctest.Wait()
+		defer f.stop()
+		time.Sleep(20 * time.Second)
+		var loads sync.WaitGroup
+		loads.Go(func() {
+			f.run(load{w.Name, []int{0, 1, 2, 3, 4, 5, 6, 7}, steady(7.5 * ordinary * w.Rate)}, 160*time.Second, 9)
+		})
+		f.apply(event{kind: "halves", d: 100 * time.Second})
+		f.mu.Lock()
+		late := 0 // in the last 20 s of the partition
+		for _, at := range f.runs[w.Name] {
+			if time.Since(at) < 20*time.Second {
+				late++
+			}
+		}
+		f.mu.Unlock()
+		loads.Wait()
+		t.Logf("peak %d of %.1f, %.1f/s when the halves have been apart for 80 s", f.peak(w.Name), rule.Permitted(w.Quota), float64(late)/20)
+		require.LessOrEqual(t, float64(f.peak(w.Name)), rule.Permitted(w.Quota))
+		require.Greater(t, float64(late)/20, ordinary*w.Rate)
+	})
+}
+
 // TestRefusal checks that a request over the quota is refused at once, that its Retry-After is accurate, and that refusals cause few calls.
 func TestRefusal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/workspace/enforcer/property_test.go
+++ b/internal/workspace/enforcer/property_test.go
@@ -35,7 +35,7 @@
 			at:   time.Duration(rapid.Int64Range(int64(knownTime), int64(d)).Draw(t, "at")),
 			kind: rapid.SampledFrom([]string{"halves", "alone", "freeze", "freeze half", "restart", "restart half", "restart all", "stop", "former release", "lower"}).Draw(t, "kind"),
 			node: rapid.IntRange(0, n-1).Draw(t, "node"),
-			d:    time.Duration(rapid.Int64Range(int64(200*time.Millisecond), int64(50*time.Second)).Draw(t, "for")),
+			d:    time.Duration(rapid.Int64Range(int64(200*time.Millisecond), int64(d)).Draw(t, "for")),
 		}
 	}), 1, 5).Draw(t, "events")
 }
@@ -132,7 +132,7 @@
 		n        int
 		duration time.Duration
 		runs     int // a run at 300 instances takes some seconds of processor time
-	}{{4, 60 * time.Second, 40}, {32, 60 * time.Second, 6}, {300, 12 * time.Second, 1}} {
+	}{{4, 150 * time.Second, 40}, {32, 60 * time.Second, 6}, {300, 12 * time.Second, 1}} {
 		n, duration := c.n, c.duration
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			runs := 0
