--- a/internal/forward/runner/admission_test.go
+++ b/internal/forward/runner/admission_test.go
@@ -8,7 +8,9 @@
 	"testing/synctest"
 	"time"
 
+	"crocuswing/internal/experiment/testbed"
 	"crocuswing/internal/experiment/topology"
+	"crocuswing/internal/forward/aggregator"
 	"crocuswing/internal/forward/reply"
 	"crocuswing/internal/forward/request"
 	"crocuswing/internal/operator/metric"
@@ -253,3 +255,32 @@
 		require.Equal(t, http.StatusOK, k.run(public).Status)
 	})
 }
+
+// TestAggregateOfWorkspace checks that an aggregator takes rank and regions from its own configuration, and refuses a workspace that it
+// does not know or whose regions do not include its own.
+func TestAggregateOfWorkspace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := newKeyed(t, lookupShape())
+		defer k.stop()
+		k.runner.region = testbed.Region
+		ask := func(name string) (*execution, error) {
+			return k.runner.newAggregate(aggregator.Request{
+				ID: "q", Path: "/x", Host: "h", Workspace: name, Revision: k.revision, Shards: aggregator.Set{}.With(0), TimeLeftUS: 1e6,
+			})
+		}
+		rank := 3
+		k.publishKeys(workspace.Workspace{Name: "w", Rank: &rank, Regions: []string{testbed.Region}}, "key")
+		e, err := ask("w")
+		require.NoError(t, err)
+		require.Equal(t, rank, e.route.Rank)
+		e, err = ask("")
+		require.NoError(t, err, "a public route")
+		require.Zero(t, e.route.Rank)
+		var refused *RefusedError
+		_, err = ask("unknown")
+		require.ErrorAs(t, err, &refused)
+		k.publishKeys(workspace.Workspace{Name: "w", Regions: []string{testbed.OtherRegion}}, "key")
+		_, err = ask("w")
+		require.ErrorAs(t, err, &refused)
+	})
+}
