fix(store): a store may count its eras from 0

Cause: the header 0 was taken for a missing one, so that a late answer of the first era counted as one of the known era.

Change: the era of a position is one more than the header.

--- a/internal/published/change/change.go
+++ b/internal/published/change/change.go
@@ -49,7 +49,7 @@
 // Position is a point in the history of the store. The store counts an era each time it comes back from an older copy of itself; revisions
 // are then given out again, so that they have an order only within an era. The zero Position precedes all others.
 type Position struct {
-	// Era is 0 if the store does not state it.
+	// Era is at least 1, and 0 if the store does not state it.
 	Era, Revision int64
 }
 
