fix(wire): a stated length of a list allocates nothing

Cause: the decoder of MessagePack allocates the length that a list states before it reads the elements. A message of 37 bytes with the key of a list, to the address for other instances, ended the process: out of memory.

Other messages between instances are not changed.

--- a/internal/fleet/membership/message.go
+++ b/internal/fleet/membership/message.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"crocuswing/internal/wire/list"
 )
 
 const (
@@ -21,7 +23,7 @@
 // Message is both the request and the reply of a gossip exchange. Its first member is the sender. Instances of former releases ignore and
 // do not send the other fields.
 type Message struct {
-	Members []Member `msgpack:"m"`
+	Members list.List[Member] `msgpack:"m"`
 	// WantAll asks for all members, unless the names known to the receiver have the same Digest.
 	WantAll bool   `msgpack:"w,omitempty"`
 	Digest  uint64 `msgpack:"x,omitempty"`
