--- a/internal/fleet/membership/knowledge.go
+++ b/internal/fleet/membership/knowledge.go
@@ -15,6 +15,8 @@
 	// quietTime is the time without a new member after which instances that have started together know the fleet. Each of them calls seeds
 	// at least twice in it.
 	quietTime = time.Second
+	// smallQuietTime replaces quietTime in a small fleet, whose rounds are shorter.
+	smallQuietTime = 700 * time.Millisecond
 	// loneSeedTime replaces quietTime for an instance that is the only seed and has to wait until others call it.
 	loneSeedTime = 2 * gossipInterval
 	// spreadTime is the time for which a new member is sent before others, at startupInterval. A fleet of 300 knows it after 3 s.
@@ -179,6 +181,8 @@
 		hasOtherSeed = hasOtherSeed || seed != ms.self.Address
 	}
 	switch {
+	case (ms.contacted || len(ms.seeds) == 0) && ms.isSmall():
+		return smallQuietTime
 	case ms.contacted || len(ms.seeds) == 0:
 		return quietTime
 	case hasOtherSeed:
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -29,9 +29,15 @@
 
 	startupRounds   = 10 // rounds after the start that run at startupInterval, to discover the others quickly
 	startupInterval = 300 * time.Millisecond
-	gossipInterval  = 3 * time.Second
-	fanout          = 2 // members called in each round
-	callTimeout     = 800 * time.Millisecond
+	// smallFleetInterval replaces startupInterval until the fleet is known, where a message with all members is small.
+	smallFleetInterval = 100 * time.Millisecond
+	smallFleet         = 64 // instances
+	gossipInterval     = 3 * time.Second
+	fanout             = 2 // members called in each round
+	callTimeout        = 800 * time.Millisecond
+	// startupTimeout replaces callTimeout until the fleet is known. After a loss of power the connection to an instance that is not up yet
+	// hangs, while a new one is accepted as soon as it is up.
+	startupTimeout = 250 * time.Millisecond
 	// minFailureTimeout is longer than a restart takes, so that an instance that restarts stays counted.
 	minFailureTimeout = 20 * time.Second
 	// propagationFactor is the number of times that the entries of all instances have to fit into the messages received
@@ -177,6 +183,9 @@
 func (ms *Membership) interval(round int, now time.Time) time.Duration {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
+	if !ms.known && ms.isSmall() {
+		return smallFleetInterval
+	}
 	if round < startupRounds || !ms.known || now.Before(ms.grownAt.Add(spreadTime)) {
 		return startupInterval
 	}
@@ -235,8 +244,21 @@
 	return addresses
 }
 
+// isSmall reports whether the known fleet is small.
+func (ms *Membership) isSmall() bool { return len(ms.members) < smallFleet }
+
+// timeout returns the time that a call may take.
+func (ms *Membership) timeout() time.Duration {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	if ms.known {
+		return callTimeout
+	}
+	return startupTimeout
+}
+
 func (ms *Membership) exchange(ctx context.Context, address string, wantAll bool) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, ms.timeout())
 	defer cancel()
 	var reply Message
 	if err := ms.Call(ctx, address, Method, ms.request(wantAll, time.Now()), &reply); err != nil {
--- a/internal/peer/client/client.go
+++ b/internal/peer/client/client.go
@@ -20,9 +20,12 @@
 )
 
 const (
-	dialTimeout    = time.Second // includes the handshake
-	initialBackoff = 50 * time.Millisecond
-	maxBackoff     = 2 * time.Second
+	dialTimeout = time.Second // includes the handshake
+	// firstDialTimeout is the timeout of the first dial, which doubles with each failure up to dialTimeout. After a loss of power the packet
+	// that opens a connection to an instance that is not up yet is lost and sent again only a second later.
+	firstDialTimeout = 250 * time.Millisecond
+	initialBackoff   = 50 * time.Millisecond
+	maxBackoff       = 2 * time.Second
 )
 
 // Dial opens a connection to an IP literal and a port.
@@ -174,7 +177,10 @@
 }
 
 func (c *Client) runDial(d *pendingDial) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	c.mu.Lock()
+	timeout := min(dialTimeout, firstDialTimeout<<min(c.dialFailures, 10))
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	raw, err := c.dialAndHandshake(ctx)
 	c.mu.Lock()
--- a/internal/workspace/enforcer/enforcer.go
+++ b/internal/workspace/enforcer/enforcer.go
@@ -24,7 +24,7 @@
 
 const (
 	// updateInterval is the time between two looks at the fleet until this instance lends, and establishedInterval that afterwards.
-	updateInterval      = 300 * time.Millisecond
+	updateInterval      = 100 * time.Millisecond
 	establishedInterval = time.Second
 	// maxWait is the time that a request may wait for loans, and askTimeout that for one lender: the longest round trip between regions and
 	// some time for a busy machine. A later answer still counts.
--- a/internal/workspace/roster/roster.go
+++ b/internal/workspace/roster/roster.go
@@ -25,10 +25,13 @@
 	// maxGap is the longest time between two updates. Above it, the process was suspended: it may be counted as gone.
 	maxGap = 3 * time.Second
 	// The fleet counts as known if no instance was added for quietTime, at the earliest minAge after the start, or minAgeAlone if there
-	// is no other one. The gossip makes a round each 300 ms after a start.
-	quietTime   = 900 * time.Millisecond
-	minAge      = 1500 * time.Millisecond
-	minAgeAlone = 3 * time.Second
+	// is no other one. The gossip makes a round each 300 ms after a start, and each 100 ms in a small fleet, which has shorter times.
+	quietTime      = 900 * time.Millisecond
+	minAge         = 1500 * time.Millisecond
+	minAgeAlone    = 3 * time.Second
+	smallFleet     = 64 // instances
+	smallQuietTime = 700 * time.Millisecond
+	smallMinAge    = time.Second
 )
 
 // Member is an instance.
@@ -140,14 +143,16 @@
 
 // settle decides whether the fleet is known.
 func (r *Roster) settle(now time.Time) {
-	age := minAge
+	age, quiet := minAge, quietTime
 	switch {
 	case len(r.others) == 0 && r.expectsOthers:
 		age = memory
 	case len(r.others) == 0:
 		age = minAgeAlone
+	case len(r.others) < smallFleet:
+		age, quiet = smallMinAge, smallQuietTime
 	}
-	if r.settledAt.IsZero() && now.Sub(r.started) >= age && now.Sub(r.addedAt) >= quietTime &&
+	if r.settledAt.IsZero() && now.Sub(r.started) >= age && now.Sub(r.addedAt) >= quiet &&
 		(r.Known() >= r.reported || now.Sub(r.started) >= Handover) {
 		r.settledAt = now
 		r.version++
