fix(wire): a stated length of a list allocates nothing

Cause: the decoder of MessagePack allocates the length that a list states before it reads the elements. A message of 26 bytes, to the address for other instances, ended the process: out of memory. FuzzHandle then showed that a request with the key b, which is only valid in a reply, made an instance take the fleet for known.

Change: lists of published and census messages are decoded element by element (internal/wire/list); b is ignored in requests. Other messages between instances are not changed.

Before, FuzzMessages with the input that it found within 10 s (kept as a seed): 'fatal error: runtime: out of memory'; FuzzHandle/seed#0: 'the fleet is not known'. After: both pass, each also 15 s of fuzzing.

--- a/internal/fleet/membership/membership_test.go
+++ b/internal/fleet/membership/membership_test.go
@@ -8,6 +8,7 @@
 	"crocuswing/internal/fleet/share"
 
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 )
 
@@ -140,3 +141,20 @@
 		}
 	}
 }
+
+// FuzzHandle checks that no message ends the process, or makes an instance that has just started take shares.
+func FuzzHandle(f *testing.F) {
+	for _, m := range []any{Message{Members: []Member{{Name: "b", Address: "x", Incarnation: 1}}, WantAll: true, Known: true, Size: -1, Counted: true}, map[string]any{"m": "x"}} {
+		body, err := msgpack.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+	}
+	f.Add([]byte("\x81\xa1m\xdd\xff\xff\xff\xff"))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		ms := New("a", "10.0.0.9:1", []string{"10.0.0.8:1"}, zap.NewNop(), func(*share.Division) { t.Error("the fleet is not known") })
+		ms.beginRound(time.Now())
+		_, _ = ms.Handle(t.Context(), body)
+	})
+}
--- a/internal/fleet/membership/message.go
+++ b/internal/fleet/membership/message.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"crocuswing/internal/wire/list"
 )
 
 const (
@@ -21,7 +23,7 @@
 // Message is both the request and the reply of a gossip exchange. Its first member is the sender. Instances of former releases ignore and
 // do not send the other fields.
 type Message struct {
-	Members []Member `msgpack:"m"`
+	Members list.List[Member] `msgpack:"m"`
 	// WantAll asks for all members, unless the names known to the receiver have the same Digest.
 	WantAll bool   `msgpack:"w,omitempty"`
 	Digest  uint64 `msgpack:"x,omitempty"`
@@ -45,6 +47,7 @@
 func (ms *Membership) reply(request Message, now time.Time) Message {
 	isCounted := len(request.Members) > 0 && ms.isCounted(request.Members[0].Name, now)
 	ms.merge(request, now)
+	request.Counted = false // only valid in a reply
 	ms.learn(request, now)
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
--- a/internal/published/relay/relay.go
+++ b/internal/published/relay/relay.go
@@ -22,6 +22,7 @@
 	"crocuswing/internal/published/follower"
 	"crocuswing/internal/published/state"
 	"crocuswing/internal/task/pause"
+	"crocuswing/internal/wire/list"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
@@ -93,11 +94,11 @@
 
 // reply holds the changes after the revision of a request. The store confirmed them AgeMS ago.
 type reply struct {
-	Full     bool          `msgpack:"w,omitempty"`
-	Revision int64         `msgpack:"r"`
-	Era      int64         `msgpack:"e,omitempty"`
-	Items    []change.Item `msgpack:"i,omitempty"`
-	AgeMS    int64         `msgpack:"a"`
+	Full     bool                   `msgpack:"w,omitempty"`
+	Revision int64                  `msgpack:"r"`
+	Era      int64                  `msgpack:"e,omitempty"`
+	Items    list.List[change.Item] `msgpack:"i,omitempty"`
+	AgeMS    int64                  `msgpack:"a"`
 	// HeldMS is the time from the arrival of the request to the reply, rounded up. Instances of former releases do not send it.
 	HeldMS int64 `msgpack:"h,omitempty"`
 }
