--- a/internal/fleet/membership/message.go
+++ b/internal/fleet/membership/message.go
@@ -47,6 +47,7 @@
 func (ms *Membership) reply(request Message, now time.Time) Message {
 	isCounted := len(request.Members) > 0 && ms.isCounted(request.Members[0].Name, now)
 	ms.merge(request, now)
+	request.Counted = false // only valid in a reply
 	ms.learn(request, now)
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
