--- a/internal/forward/runner/aggregate.go
+++ b/internal/forward/runner/aggregate.go
@@ -252,11 +252,8 @@
 	return rt.IsGather() && rt.Allows(r.region) && rt.MaxAttempts >= 2
 }
 
-// newAggregate returns the execution of the subrequests that q asks for.
-func (r *Runner) newAggregate(q aggregator.Request) (*execution, error) {
-	if r.end.Load() != nil {
-		return nil, &RefusedError{Reason: "this instance stops"}
-	}
+// gatheredRoute returns the route of the request, as it applies to its workspace, if this instance may gather parts of it.
+func (r *Runner) gatheredRoute(q aggregator.Request) (*route.Route, error) {
 	table := r.viewer.View().Table
 	if table == nil || table.Revision() != q.Revision {
 		return nil, &RefusedError{Reason: fmt.Sprintf("revision %d is not in force here", q.Revision)}
@@ -268,6 +265,18 @@
 	if !ok || !r.mayGather(rt) || q.Shards.Len() == 0 || q.TimeLeftUS <= 0 {
 		return nil, &RefusedError{Reason: "no parts of this request may be gathered here"}
 	}
+	return rt, nil
+}
+
+// newAggregate returns the execution of the subrequests that q asks for.
+func (r *Runner) newAggregate(q aggregator.Request) (*execution, error) {
+	if r.end.Load() != nil {
+		return nil, &RefusedError{Reason: "this instance stops"}
+	}
+	rt, err := r.gatheredRoute(q)
+	if err != nil {
+		return nil, err
+	}
 	req := request.Request{
 		ID: q.ID, Method: q.Method, Target: q.Target, Path: q.Path, Host: q.Host, Header: q.Header, Workspace: q.Workspace, Body: q.Body,
 		Arrived: time.Now(), Timeout: time.Duration(q.TimeLeftUS) * time.Microsecond,
--- a/internal/settings/deployment/deployment.go
+++ b/internal/settings/deployment/deployment.go
@@ -118,6 +118,14 @@
 			return &Error{Key: a.key, Reason: reason}
 		}
 	}
+	if err := s.checkCapacity(); err != nil {
+		return err
+	}
+	return s.check()
+}
+
+// checkCapacity checks what the instance may use.
+func (s Settings) checkCapacity() error {
 	if s.MemoryBytes < 0 || s.MemoryBytes > MaxMemoryBytes {
 		return &Error{Key: "memory", Reason: fmt.Sprintf("is %d bytes, want 0 to %d", s.MemoryBytes, int64(MaxMemoryBytes))}
 	}
@@ -130,7 +138,7 @@
 	if s.Capacity < 0 || s.Capacity > MaxCount {
 		return &Error{Key: "capacity", Reason: fmt.Sprintf("want 0 to %d thousandths of a core", MaxCount)}
 	}
-	return s.check()
+	return nil
 }
 
 func (b Bounds) check() error {
