feat(metrics): aggregates by kind, gauges of aggregators, and who gathers in crocuswing route

Cause: the counters mixed calls within the region with those to other regions, and nothing but a log line told who gathers; the report on a route named no aggregators, since its hook was not set.

--- a/internal/forward/aggregator/aggregator.go
+++ b/internal/forward/aggregator/aggregator.go
@@ -126,6 +126,20 @@
 	return s.concentrated.count, s.isSelf
 }
 
+// RegionAggregators returns the names of the aggregators of this instance's region, sorted, including its own if it is one. There are
+// none while each instance gathers for itself.
+func (s *Selector) RegionAggregators() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refreshIfOld(time.Now())
+	names := []string{}
+	for _, m := range s.concentrated.byRegion[s.regions[s.members.Self().FailureDomain]] {
+		names = append(names, m.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Pick returns an instance of the region for the request with the given identifier, and false if none is known to answer. Of two that
 // are chosen by the hash of the identifier, it returns the one with fewer calls in flight. The instances named in tried are left out.
 func (s *Selector) Pick(region, requestID string, tried ...string) (membership.Member, bool) {
--- a/internal/forward/aggregator/selection_test.go
+++ b/internal/forward/aggregator/selection_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,6 +87,7 @@
 		var changes []change
 		s := New(&f, regions, WithConcentration(func() float64 { return 44.2 }, func(n int, isSelf bool) { changes = append(changes, change{n, isSelf}) }, zap.NewNop()))
 		require.True(t, s.GathersItself(), "few instances are known")
+		require.Equal(t, []string{}, s.RegionAggregators())
 		require.Empty(t, changes)
 		f.members = all[:58]
 		time.Sleep(3 * refreshInterval)
@@ -105,6 +108,11 @@
 			require.NotEqual(t, m.Name, other.Name)
 		}
 		require.GreaterOrEqual(t, len(picked), 3)
+		require.Subset(t, s.RegionAggregators(), slices.Collect(maps.Keys(picked)))
+		for _, name := range s.RegionAggregators() {
+			i := slices.IndexFunc(all, func(m membership.Member) bool { return m.Name == name })
+			require.Equal(t, own, regions[all[i].FailureDomain], "aggregators of other regions do not gather for this instance")
+		}
 		f.members = all[:40]
 		time.Sleep(3 * refreshInterval)
 		require.True(t, s.GathersItself())
--- a/internal/forward/runner/aggregate.go
+++ b/internal/forward/runner/aggregate.go
@@ -68,7 +68,7 @@
 	if !e.limiter.Acquire(len(e.subrequests), e.route.Rank) {
 		return aggregator.Reply{}, &RefusedError{Reason: "this instance has begun as much as it may"}
 	}
-	r.meter.Count("crocuswing_aggregates_served_total")
+	r.countAggregate("served", e.isNear)
 	runCtx, cancel := context.WithDeadline(context.Background(), e.plan.Deadline)
 	a := &aggregate{execution: e, first: make(chan aggregator.Reply, 1), ended: make(chan struct{}), cancel: cancel}
 	a.firstDue = e.request.Arrived.Add(a.firstDelay())
@@ -252,11 +252,8 @@
 	return rt.IsGather() && rt.Allows(r.region) && rt.MaxAttempts >= 2
 }
 
-// newAggregate returns the execution of the subrequests that q asks for.
-func (r *Runner) newAggregate(q aggregator.Request) (*execution, error) {
-	if r.end.Load() != nil {
-		return nil, &RefusedError{Reason: "this instance stops"}
-	}
+// aggregateRoute returns the route of q, restricted to the caller's workspace.
+func (r *Runner) aggregateRoute(q aggregator.Request) (*route.Route, error) {
 	table := r.viewer.View().Table
 	if table == nil || table.Revision() != q.Revision {
 		return nil, &RefusedError{Reason: fmt.Sprintf("revision %d is not in force here", q.Revision)}
@@ -268,6 +265,18 @@
 	if !ok || !r.mayGather(rt) || q.Shards.Len() == 0 || q.TimeLeftUS <= 0 {
 		return nil, &RefusedError{Reason: "no parts of this request may be gathered here"}
 	}
+	return rt, nil
+}
+
+// newAggregate returns the execution of the subrequests that q asks for.
+func (r *Runner) newAggregate(q aggregator.Request) (*execution, error) {
+	if r.end.Load() != nil {
+		return nil, &RefusedError{Reason: "this instance stops"}
+	}
+	rt, err := r.aggregateRoute(q)
+	if err != nil {
+		return nil, err
+	}
 	req := request.Request{
 		ID: q.ID, Method: q.Method, Target: q.Target, Path: q.Path, Host: q.Host, Header: q.Header, Workspace: q.Workspace, Body: q.Body,
 		Arrived: time.Now(), Timeout: time.Duration(q.TimeLeftUS) * time.Microsecond,
--- a/internal/forward/runner/delegation.go
+++ b/internal/forward/runner/delegation.go
@@ -150,7 +150,7 @@
 		s.delegation, s.delegatedRegion, s.isSentByAggregator = d, d.region, true // until the outcome of the call shows otherwise
 		q.Shards = q.Shards.With(s.index)
 	}
-	e.meter.Count("crocuswing_aggregates_asked_total")
+	e.countAggregate("asked", d.isNear)
 	e.inFlight.Go(func() {
 		defer cancel()
 		res := delegationResult{delegation: d}
@@ -159,13 +159,22 @@
 	})
 }
 
+// countAggregate counts an event of an aggregate by the region of the other instance: near in this region, distant in another one.
+func (r *Runner) countAggregate(event string, isNear bool) {
+	kind := "distant"
+	if isNear {
+		kind = "near"
+	}
+	r.meter.Count("crocuswing_aggregates_" + event + `_total{kind="` + kind + `"}`)
+}
+
 // advance lets the shards fall back if the aggregator has not answered in time. A result that arrives later is still used.
 func (d *delegation) advance(now time.Time) {
 	if d.lateAt.IsZero() || now.Before(d.lateAt) {
 		return
 	}
 	d.lateAt, d.isGivenUp, d.outcome = time.Time{}, true, "silent"
-	d.meter.Count("crocuswing_aggregates_late_total")
+	d.countAggregate("late", d.isNear)
 	d.aggregators.Missed(d.instance)
 	for _, s := range d.members {
 		s.fallBack(now)
@@ -271,7 +280,7 @@
 	if res.err != nil && !isUnsent(res.err) {
 		return false
 	}
-	d.meter.Count("crocuswing_aggregates_refused_total")
+	d.countAggregate("refused", d.isNear)
 	for _, s := range d.members {
 		s.isSentByAggregator = false
 	}
--- a/internal/forward/runner/near_harness_test.go
+++ b/internal/forward/runner/near_harness_test.go
@@ -54,6 +54,7 @@
 	catalog  *catalog.Catalog
 	selector *aggregator.Selector
 	runner   *Runner
+	metrics  *metric.Metrics
 	asked    atomic.Int64 // calls for aggregates of this instance
 	served   atomic.Int64 // calls for aggregates to this instance
 	// fault replaces the call of a method of this instance if it is set and returns an error, or ends the call otherwise.
@@ -89,7 +90,7 @@
 		Instance: m.Name, FailureDomain: testbed.Domain, Region: testbed.Region, Bounds: topo.Bounds,
 		Regions: map[string]string{testbed.Domain: testbed.Region, testbed.OtherDomain: testbed.OtherRegion},
 	}
-	x := &instance{fleet: f, member: m}
+	x := &instance{fleet: f, member: m, metrics: metric.New()}
 	own := history.New()
 	x.catalog = catalog.New(settings, own, catalog.WithLinkOptions(link.WithDial(f.Net.Dial)))
 	x.catalog.SetInstanceCount(n)
@@ -99,7 +100,7 @@
 		options = append(options, aggregator.WithConcentration(x.catalog.GatheredConnections, x.catalog.SetAggregators, zap.NewNop()))
 	}
 	x.selector = aggregator.New(x, settings.Regions, options...)
-	x.runner = New(f, x.catalog, f, own, metric.New(), zap.NewNop(), WithAggregators(testbed.Region, x.selector))
+	x.runner = New(f, x.catalog, f, own, x.metrics, zap.NewNop(), WithAggregators(testbed.Region, x.selector))
 	f.instances = append(f.instances, x)
 	f.byAddress[m.Address] = x
 }
--- a/internal/forward/runner/near_test.go
+++ b/internal/forward/runner/near_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -86,6 +87,29 @@
 	})
 }
 
+// TestAggregateKinds guards against calls within the region that are counted as distant: operators tell the two kinds by their label.
+func TestAggregateKinds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, thinShape(), fleetSize, false)
+		defer f.stopAll()
+		gathering, others := f.aggregators()
+		for _, x := range gathering[1:] {
+			x.setFault(refuses)
+		}
+		for range 20 {
+			others[0].runner.Run(t.Context(), f.NewRequest(600*time.Millisecond))
+		}
+		for x, names := range map[*instance][]string{others[0]: {"asked", "refused"}, gathering[0]: {"served"}} {
+			var b strings.Builder
+			x.metrics.Write(&b)
+			require.NotContains(t, b.String(), `kind="distant"`)
+			for _, name := range names {
+				require.Regexp(t, `(?m)^crocuswing_aggregates_`+name+`_total\{kind="near"\} [1-9]`, b.String())
+			}
+		}
+	})
+}
+
 // TestNearFallbackCounts checks that an instance whose aggregators all refuse sends the request itself, at no cost, and counts it in its own
 // retry budget.
 func TestNearFallbackCounts(t *testing.T) {
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -77,7 +77,7 @@
 	stopping    atomic.Bool
 	revision    atomic.Int64
 	routeMu     sync.Mutex // held while a route is explained
-	// gatherers returns the names of the instances of this region that gather for the others; nil if there are none.
+	// gatherers returns the names of the instances of this region that gather for the others.
 	gatherers func() []string
 }
 
@@ -117,6 +117,8 @@
 	g.membership.SetFailureDomain(s.FailureDomain)
 	g.membership.SetCapacity(s.Capacity)
 	g.aggregators = aggregator.New(g.membership, s.Regions, aggregator.WithConcentration(g.catalog.GatheredConnections, g.catalog.SetAggregators, g.log))
+	g.gatherers = g.aggregators.RegionAggregators
+	g.addAggregatorGauges()
 	g.quotas = g.newQuotas(s)
 	g.runner = runner.New(p.Protocol, g.catalog, g.follower, latencyHistory, g.metrics, g.log, runner.WithLimiter(g.subrequests),
 		runner.WithAggregators(s.Region, g.aggregators), runner.WithQuotas(g.quotas))
--- a/internal/serve/gateway/route.go
+++ b/internal/serve/gateway/route.go
@@ -39,9 +39,6 @@
 	defer g.routeMu.Unlock()
 	rep := g.runner.Explain(req, g.catalog)
 	rep.Instance, rep.FailureDomain, rep.Region = g.settings.Instance, g.settings.FailureDomain, g.settings.Region
-	rep.Aggregators = []string{}
-	if g.gatherers != nil {
-		rep.Aggregators = g.gatherers()
-	}
+	rep.Aggregators = g.gatherers()
 	return rep
 }
