test(forward): near aggregators of the previous release, and cut off in one direction

The previous release is this code with the new fields removed. TestNearAttempts holds the limit of attempts with such a cut.

--- a/internal/forward/runner/near_harness_test.go
+++ b/internal/forward/runner/near_harness_test.go
@@ -57,6 +57,8 @@
 	metrics  *metric.Metrics
 	asked    atomic.Int64 // calls for aggregates of this instance
 	served   atomic.Int64 // calls for aggregates to this instance
+	// isPrevious makes the instance answer calls as one of the previous release, which knows no near aggregators.
+	isPrevious atomic.Bool
 	// fault replaces the call of a method of this instance if it is set and returns an error, or ends the call otherwise.
 	fault atomic.Pointer[func(ctx context.Context, method string, call func() (aggregator.Reply, error)) (aggregator.Reply, error)]
 }
@@ -153,11 +155,25 @@
 	if method == aggregator.RestMethod {
 		var q aggregator.RestRequest
 		require.NoError(x, msgpack.Unmarshal(body, &q))
-		return x.runner.AggregateRest(ctx, q)
+		if x.isPrevious.Load() {
+			q.Grant, q.DueUS = false, 0
+		}
+		return x.withoutNewFields(x.runner.AggregateRest(ctx, q))
 	}
 	var q aggregator.Request
 	require.NoError(x, msgpack.Unmarshal(body, &q))
-	return x.runner.Aggregate(ctx, q)
+	if x.isPrevious.Load() {
+		q.Near, q.ObjectiveUS = false, 0
+	}
+	return x.withoutNewFields(x.runner.Aggregate(ctx, q))
+}
+
+// withoutNewFields removes the fields that the previous release does not send from a reply of an instance of that release.
+func (x *instance) withoutNewFields(r aggregator.Reply, err error) (aggregator.Reply, error) {
+	if x.isPrevious.Load() {
+		r.EarlyUS, r.TookUS, r.RetryAfterUS = 0, 0, 0
+	}
+	return r, err
 }
 
 func (x *instance) setFault(fault func(ctx context.Context, method string, call func() (aggregator.Reply, error)) (aggregator.Reply, error)) {
--- a/internal/forward/runner/near_test.go
+++ b/internal/forward/runner/near_test.go
@@ -205,6 +205,12 @@
 		defer time.Sleep(70 * time.Millisecond)
 		return call()
 	}
+	// unanswered is a cut of the direction from the aggregator to the instance that asks: calls and their cancels arrive, answers do not.
+	unanswered faultFunc = func(ctx context.Context, _ string, call func() (aggregator.Reply, error)) (aggregator.Reply, error) {
+		_, _ = call()
+		<-ctx.Done()
+		return aggregator.Reply{}, ctx.Err()
+	}
 	// killed loses the answers after a time in which the aggregator has worked on the call.
 	killed faultFunc = func(_ context.Context, _ string, call func() (aggregator.Reply, error)) (aggregator.Reply, error) {
 		go func() { _, _ = call() }()
@@ -253,7 +259,7 @@
 		"sound": func(_ context.Context, _ string, call func() (aggregator.Reply, error)) (aggregator.Reply, error) {
 			return call()
 		},
-		"slow": slow, "answers lost": lost, "killed": killed, "killed after the first reply": restOnly(killed),
+		"slow": slow, "answers lost": lost, "unanswered": unanswered, "unanswered after the first reply": restOnly(unanswered), "killed": killed, "killed after the first reply": restOnly(killed),
 		"slow after the first reply": restOnly(slow), "unreachable after the first reply": restOnly(unsent), "frozen after the first reply": restOnly(frozen),
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -284,6 +290,8 @@
 		fault  faultFunc
 		all    bool    // all aggregators fail
 		inTime float64 // at least, of the requests
+		// isPrevious puts the aggregators on the previous release in place of a fault.
+		isPrevious bool
 	}{
 		{name: "frozen", fault: frozen, inTime: 0.9},
 		{name: "slow", fault: slow, inTime: 0.9},
@@ -293,6 +301,10 @@
 		{name: "dies after the first reply", fault: restOnly(lost), inTime: 0.8},
 		{name: "unreachable after the first reply", fault: restOnly(unsent), inTime: 0.8},
 		{name: "frozen after the first reply", fault: restOnly(frozen), inTime: 0.8},
+		{name: "cut off from the instance that asks", fault: unanswered, inTime: 0.9},
+		{name: "cut off after the first reply", fault: restOnly(unanswered), inTime: 0.8},
+		{name: "previous release", isPrevious: true, inTime: 0.9},
+		{name: "all of the previous release", isPrevious: true, all: true, inTime: 0.8},
 		{name: "all unreachable", fault: unsent, all: true, inTime: 0.5},
 		{name: "all frozen", fault: frozen, all: true},
 	} {
@@ -311,7 +323,11 @@
 				}
 				gathering, _ := f.aggregators()
 				for i, x := range gathering {
-					if i == 0 || c.all {
+					if i != 0 && !c.all {
+						continue
+					}
+					x.isPrevious.Store(c.isPrevious)
+					if c.fault != nil {
 						x.setFault(c.fault)
 					}
 				}
