--- a/internal/forward/runner/aggregate.go
+++ b/internal/forward/runner/aggregate.go
@@ -68,7 +68,7 @@
 	if !e.limiter.Acquire(len(e.subrequests), e.route.Rank) {
 		return aggregator.Reply{}, &RefusedError{Reason: "this instance has begun as much as it may"}
 	}
-	r.meter.Count("crocuswing_aggregates_served_total")
+	r.countAggregate("served", e.isNear)
 	runCtx, cancel := context.WithDeadline(context.Background(), e.plan.Deadline)
 	a := &aggregate{execution: e, first: make(chan aggregator.Reply, 1), ended: make(chan struct{}), cancel: cancel}
 	a.firstDue = e.request.Arrived.Add(a.firstDelay())
--- a/internal/forward/runner/near_test.go
+++ b/internal/forward/runner/near_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -86,6 +87,29 @@
 	})
 }
 
+// TestAggregateKinds guards against calls within the region that are counted as distant: operators tell the two kinds by their label.
+func TestAggregateKinds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, thinShape(), fleetSize, false)
+		defer f.stopAll()
+		gathering, others := f.aggregators()
+		for _, x := range gathering[1:] {
+			x.setFault(refuses)
+		}
+		for range 20 {
+			others[0].runner.Run(t.Context(), f.NewRequest(600*time.Millisecond))
+		}
+		for x, names := range map[*instance][]string{others[0]: {"asked", "refused"}, gathering[0]: {"served"}} {
+			var b strings.Builder
+			x.metrics.Write(&b)
+			require.NotContains(t, b.String(), `kind="distant"`)
+			for _, name := range names {
+				require.Regexp(t, `(?m)^crocuswing_aggregates_`+name+`_total\{kind="near"\} [1-9]`, b.String())
+			}
+		}
+	})
+}
+
 // TestNearFallbackCounts checks that an instance whose aggregators all refuse sends the request itself, at no cost, and counts it in its own
 // retry budget.
 func TestNearFallbackCounts(t *testing.T) {
@@ -181,6 +205,12 @@
 		defer time.Sleep(70 * time.Millisecond)
 		return call()
 	}
+	// unanswered is a cut of the direction from the aggregator to the instance that asks: calls and their cancels arrive, answers do not.
+	unanswered faultFunc = func(ctx context.Context, _ string, call func() (aggregator.Reply, error)) (aggregator.Reply, error) {
+		_, _ = call()
+		<-ctx.Done()
+		return aggregator.Reply{}, ctx.Err()
+	}
 	// killed loses the answers after a time in which the aggregator has worked on the call.
 	killed faultFunc = func(_ context.Context, _ string, call func() (aggregator.Reply, error)) (aggregator.Reply, error) {
 		go func() { _, _ = call() }()
@@ -229,7 +259,7 @@
 		"sound": func(_ context.Context, _ string, call func() (aggregator.Reply, error)) (aggregator.Reply, error) {
 			return call()
 		},
-		"slow": slow, "answers lost": lost, "killed": killed, "killed after the first reply": restOnly(killed),
+		"slow": slow, "answers lost": lost, "unanswered": unanswered, "unanswered after the first reply": restOnly(unanswered), "killed": killed, "killed after the first reply": restOnly(killed),
 		"slow after the first reply": restOnly(slow), "unreachable after the first reply": restOnly(unsent), "frozen after the first reply": restOnly(frozen),
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -260,6 +290,8 @@
 		fault  faultFunc
 		all    bool    // all aggregators fail
 		inTime float64 // at least, of the requests
+		// isPrevious puts the aggregators on the previous release in place of a fault.
+		isPrevious bool
 	}{
 		{name: "frozen", fault: frozen, inTime: 0.9},
 		{name: "slow", fault: slow, inTime: 0.9},
@@ -269,6 +301,10 @@
 		{name: "dies after the first reply", fault: restOnly(lost), inTime: 0.8},
 		{name: "unreachable after the first reply", fault: restOnly(unsent), inTime: 0.8},
 		{name: "frozen after the first reply", fault: restOnly(frozen), inTime: 0.8},
+		{name: "cut off from the instance that asks", fault: unanswered, inTime: 0.9},
+		{name: "cut off after the first reply", fault: restOnly(unanswered), inTime: 0.8},
+		{name: "previous release", isPrevious: true, inTime: 0.9},
+		{name: "all of the previous release", isPrevious: true, all: true, inTime: 0.8},
 		{name: "all unreachable", fault: unsent, all: true, inTime: 0.5},
 		{name: "all frozen", fault: frozen, all: true},
 	} {
@@ -287,7 +323,11 @@
 				}
 				gathering, _ := f.aggregators()
 				for i, x := range gathering {
-					if i == 0 || c.all {
+					if i != 0 && !c.all {
+						continue
+					}
+					x.isPrevious.Store(c.isPrevious)
+					if c.fault != nil {
 						x.setFault(c.fault)
 					}
 				}
