fix(runner): a request handed to an aggregator of its region counts as sent

delegateAll did not ask for the permit. The quota permission of a request that an aggregator had run was given back, and a key removed meanwhile was answered with 401 after the request had run. delegateShards asked for it also where it then called no aggregator.

--- a/internal/forward/runner/admission_test.go
+++ b/internal/forward/runner/admission_test.go
@@ -284,3 +284,29 @@
 		require.ErrorAs(t, err, &refused)
 	})
 }
+
+// TestPermitOfNearRequest guards against a request that an aggregator of the region has run counting as not sent: its permission would be
+// used again, and a removed key would be answered with 401 after the request has run.
+func TestPermitOfNearRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, thinShape(), fleetSize, false)
+		defer f.stopAll()
+		k := &keyed{harness: &harness{T: t, Testbed: f.Testbed}, revision: f.Published.Table.Revision()}
+		limited := workspace.Workspace{Name: "w", Quota: workspace.Quota{Rate: 1}}
+		k.publishKeys(limited, "key")
+		for _, x := range f.instances {
+			x.runner.viewer = k
+		}
+		q := &fakeQuotas{permissions: 2}
+		_, others := f.aggregators()
+		r := others[0].runner
+		r.quotas = q
+		require.Equal(t, http.StatusOK, r.Run(t.Context(), k.request("key")).Status)
+		require.Positive(t, others[0].asked.Load())
+		require.Equal(t, 1, q.permissions)
+
+		time.AfterFunc(peerLatency+time.Millisecond, func() { k.publishKeys(limited, "another") })
+		require.Equal(t, http.StatusOK, r.Run(t.Context(), k.request("key")).Status)
+		require.Zero(t, q.permissions)
+	})
+}
--- a/internal/forward/runner/delegation.go
+++ b/internal/forward/runner/delegation.go
@@ -71,7 +71,7 @@
 
 // delegateShards asks aggregators for the parts of the shards without a usable upstream in this region.
 func (e *execution) delegateShards(now time.Time) {
-	if !e.mayDelegate(now) || !e.request.MaySend() {
+	if !e.mayDelegate(now) {
 		return
 	}
 	shardsByRegion := make(map[string][]*subrequest)
@@ -101,7 +101,8 @@
 		if len(free) < minDelegatedShards {
 			continue
 		}
-		if instance, ok := e.aggregators.Pick(region, e.request.ID); ok {
+		// MaySend comes last: after it, the request counts as sent.
+		if instance, ok := e.aggregators.Pick(region, e.request.ID); ok && e.request.MaySend() {
 			e.startDelegation(&delegation{region: region, instance: instance, members: free}, now)
 		}
 	}
--- a/internal/forward/runner/near.go
+++ b/internal/forward/runner/near.go
@@ -34,7 +34,7 @@
 		return false
 	}
 	instance, ok := e.aggregators.Pick(e.region, e.request.ID, e.near.tried...)
-	if !ok {
+	if !ok || !e.request.MaySend() {
 		return false
 	}
 	e.near.tried = append(e.near.tried, instance.Name)
