fix(runner): strictRevoke also binds a request that waits while the view becomes old

The age of the view was checked when a request arrived. A request whose body took long, or that waited for an upstream or a connection, was sent with a key that might have been removed for longer than revokeMs.

--- a/internal/forward/runner/admission.go
+++ b/internal/forward/runner/admission.go
@@ -80,7 +80,7 @@
 		return h.unidentified()
 	}
 	if maxAge := time.Duration(h.maxKeyAge.Load()); maxAge > 0 && h.viewAge > maxAge {
-		rep := refused("the key may have been removed since the view was read")
+		rep := refused(reasonOldKey)
 		return &rep
 	}
 	h.request = h.request.WithWorkspace(w.Name)
@@ -100,11 +100,15 @@
 	return &rep
 }
 
-// permit lets a request begin as long as its key is known. Once it has begun to be sent, it goes on when the key is removed.
+// reasonOldKey is the reason of the refusal of a request whose view is too old for its keys.
+const reasonOldKey = "the key may have been removed since the view was read"
+
+// permit lets a request begin as long as its key is known, from a view that is recent enough. Once it has begun to be sent, it goes on when the key is removed.
 type permit struct {
 	viewer     Viewer
 	credential credential.Credential
 	workspace  string
+	maxAge     time.Duration              // of the view; 0 for no limit
 	checked    atomic.Pointer[state.View] // the newest view that is known to have the key
 	state      atomic.Int32
 	cancel     context.CancelFunc
@@ -113,13 +117,16 @@
 const (
 	permitOpen int32 = iota
 	permitBegun
-	permitRevoked
+	permitRevoked // the key was removed
+	permitExpired // the view has become older than maxAge
 )
 
 // newPermit returns the permit of a request whose key the view has. It calls cancel if it refuses the sending.
-func newPermit(v Viewer, view *state.View, c credential.Credential, workspace string, cancel context.CancelFunc) *permit {
-	p := &permit{viewer: v, credential: c, workspace: workspace, cancel: cancel}
-	p.checked.Store(view)
+func (h *handler) newPermit(cancel context.CancelFunc) *permit {
+	p := &permit{
+		viewer: h.viewer, credential: h.request.Credential, workspace: h.workspace.Name, maxAge: time.Duration(h.maxKeyAge.Load()), cancel: cancel,
+	}
+	p.checked.Store(h.view)
 	return p
 }
 
@@ -128,15 +135,26 @@
 	if p.state.Load() == permitBegun {
 		return true
 	}
-	if p.isKeyValid() && p.state.CompareAndSwap(permitOpen, permitBegun) {
-		return true
-	}
-	if p.state.CompareAndSwap(permitOpen, permitRevoked) {
+	found := p.verify()
+	if found == permitOpen {
+		p.state.CompareAndSwap(permitOpen, permitBegun)
+	} else if p.state.CompareAndSwap(permitOpen, found) {
 		p.cancel()
 	}
 	return p.state.Load() == permitBegun
 }
 
+// verify returns permitOpen if the request may begin, and otherwise the state that tells why not.
+func (p *permit) verify() int32 {
+	if !p.isKeyValid() {
+		return permitRevoked
+	}
+	if age, _ := p.viewer.Age(); p.maxAge > 0 && age > p.maxAge {
+		return permitExpired
+	}
+	return permitOpen
+}
+
 // isKeyValid reports whether the current view has the key, for the same workspace.
 func (p *permit) isKeyValid() bool {
 	view := p.viewer.View()
@@ -158,10 +176,19 @@
 // hasBegun reports whether something may have been sent.
 func (p *permit) hasBegun() bool { return p.state.Load() == permitBegun }
 
-// isRevoked reports whether the key was removed before anything was sent.
-func (p *permit) isRevoked() bool {
-	if p.state.Load() == permitOpen && !p.isKeyValid() {
-		p.state.CompareAndSwap(permitOpen, permitRevoked)
+// refusal returns the reply to a request that must not begin, and nil if it may or has begun.
+func (p *permit) refusal() *reply.Reply {
+	if found := p.verify(); found != permitOpen {
+		p.state.CompareAndSwap(permitOpen, found)
+	}
+	var rep reply.Reply
+	switch p.state.Load() {
+	case permitRevoked:
+		rep = reply.Failed(http.StatusUnauthorized, "the key was removed before the request was sent")
+	case permitExpired:
+		rep = refused(reasonOldKey)
+	default:
+		return nil
 	}
-	return p.state.Load() == permitRevoked
+	return &rep
 }
--- a/internal/forward/runner/admission_test.go
+++ b/internal/forward/runner/admission_test.go
@@ -180,6 +180,25 @@
 	}
 }
 
+// TestKeyOfAgingView guards against the sending of a request whose view has become too old for its keys since the request arrived. Nobody
+// knows whether the key was removed, so that the reply is 503.
+func TestKeyOfAgingView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := newKeyed(t, orderShape())
+		defer k.stop()
+		k.runner.SetMaxKeyAge(2 * staleViewAge)
+		q := k.request("key")
+		q.ReadBody = func() ([]byte, error) { k.age.Store(int64(2*staleViewAge + 1)); return nil, nil }
+		require.Equal(t, http.StatusServiceUnavailable, k.run(q).Status)
+		require.Zero(t, k.arrivals())
+
+		k.age.Store(0)
+		time.AfterFunc(3*time.Millisecond, func() { k.age.Store(int64(2*staleViewAge + 1)) })
+		require.Equal(t, http.StatusServiceUnavailable, k.run(k.request("key")).Status, "while a connection is opened")
+		require.Zero(t, k.arrivals())
+	})
+}
+
 // TestRemovedKeyDuringGather checks that a search goes on to shards that were not reached before the key was removed, once a part of it
 // has been sent, and that it is refused if none has.
 func TestRemovedKeyDuringGather(t *testing.T) {
--- a/internal/forward/runner/handler.go
+++ b/internal/forward/runner/handler.go
@@ -69,14 +69,14 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	h.permit = newPermit(h.viewer, h.view, h.request.Credential, h.workspace.Name, cancel)
+	h.permit = h.newPermit(cancel)
 	h.request.Permit = h.permit.allow
 	result := h.execute(ctx)
 	if !h.permit.hasBegun() {
 		giveBack()
 	}
-	if h.permit.isRevoked() {
-		return reply.Failed(http.StatusUnauthorized, "the key was removed before the request was sent")
+	if rep := h.permit.refusal(); rep != nil {
+		return *rep
 	}
 	return result
 }
@@ -86,7 +86,7 @@
 	if err := h.request.Load(); err != nil {
 		return rejected(err)
 	}
-	if h.permit != nil && h.permit.isRevoked() {
+	if h.permit != nil && h.permit.refusal() != nil {
 		return reply.Reply{} // replaced by admit
 	}
 	h.execution = newExecution(h.Runner, h.request, h.route, h.view.Table.Revision())
