--- a/internal/forward/runner/aggregate.go
+++ b/internal/forward/runner/aggregate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"crocuswing/internal/forward/aggregator"
@@ -278,20 +279,20 @@
 		e.plan.Objective = req.Arrived.Add(time.Duration(q.ObjectiveUS) * time.Microsecond)
 	}
 	e.commands = make(chan func(time.Time))
-	var asked []*subrequest
-	for _, s := range e.subrequests {
-		if q.Shards.Has(s.index) {
-			asked = append(asked, s)
-		}
-	}
-	if len(asked) != q.Shards.Len() {
+	if !e.keepShards(q.Shards) {
 		return nil, &RefusedError{Reason: fmt.Sprintf("the route has %d shards here", len(rt.Shards))}
 	}
-	e.subrequests = asked
-	e.required = max(0, e.required-(len(rt.Shards)-len(asked)))
 	return e, nil
 }
 
+// keepShards removes the subrequests of all other shards, and reports whether the route has all of the given ones.
+func (e *execution) keepShards(shards aggregator.Set) bool {
+	former := len(e.subrequests)
+	e.subrequests = slices.DeleteFunc(e.subrequests, func(s *subrequest) bool { return !shards.Has(s.index) })
+	e.required = max(0, e.required-(former-len(e.subrequests)))
+	return len(e.subrequests) == shards.Len()
+}
+
 // reply merges the parts that have arrived since the last reply.
 func (a *aggregate) reply() aggregator.Reply {
 	m := merge.New(a.route.TopK)
