fix(runner): aggregates of requests with the same identifier are kept apart

The late parts were found by the identifier of the request, which callers choose. Of two requests with the same one at an aggregator, the first got the late parts of the second, also if they were of two workspaces.

--- a/internal/forward/aggregator/message.go
+++ b/internal/forward/aggregator/message.go
@@ -14,7 +14,9 @@
 
 // Request asks an instance to gather the parts of some shards of a request. The caller's request travels unchanged.
 type Request struct {
-	ID     string `msgpack:"i"`
+	ID string `msgpack:"i"`
+	// Call tells the calls for requests with the same ID apart, which callers choose. Instances of former releases do not send it.
+	Call   uint64 `msgpack:"c,omitempty"`
 	Method string `msgpack:"m"`
 	// Target is the request target as the caller sent it, Path is its decoded path.
 	Target string      `msgpack:"t"`
@@ -56,9 +58,10 @@
 	RetryAfterUS int64 `msgpack:"w,omitempty"`
 }
 
-// RestRequest asks for the parts that were late in the reply to the request with this identifier.
+// RestRequest asks for the parts that were late in the reply to the Request with the same ID and Call.
 type RestRequest struct {
-	ID string `msgpack:"i"`
+	ID   string `msgpack:"i"`
+	Call uint64 `msgpack:"c,omitempty"`
 	// Grant permits the aggregator all remaining attempts of the route on the late shards. The instance that asks sends none then.
 	Grant bool `msgpack:"g,omitempty"`
 	// DueUS is the time in microseconds after which the reply is due with what has arrived, at least one part; 0 if only when no part is
--- a/internal/forward/runner/aggregate.go
+++ b/internal/forward/runner/aggregate.go
@@ -31,6 +31,7 @@
 // own callers. In both cases the late attempts continue, and later replies hold their parts.
 type aggregate struct {
 	*execution
+	key      aggregateKey
 	first    chan aggregator.Reply
 	ended    chan struct{} // closed when no call for late parts is accepted any more
 	cancel   context.CancelFunc
@@ -40,6 +41,12 @@
 	abandonAt time.Time
 }
 
+// aggregateKey identifies an aggregate. The identifier of the request does not suffice, since callers choose it.
+type aggregateKey struct {
+	id   string
+	call uint64
+}
+
 // restCall is a call for the late parts of an aggregate.
 type restCall struct {
 	isGrant bool
@@ -71,9 +78,9 @@
 	}
 	r.meter.Count("crocuswing_aggregates_served_total")
 	runCtx, cancel := context.WithDeadline(context.Background(), e.plan.Deadline)
-	a := &aggregate{execution: e, first: make(chan aggregator.Reply, 1), ended: make(chan struct{}), cancel: cancel}
+	a := &aggregate{execution: e, key: aggregateKey{id: q.ID, call: q.Call}, first: make(chan aggregator.Reply, 1), ended: make(chan struct{}), cancel: cancel}
 	a.firstDue = e.request.Arrived.Add(a.firstDelay())
-	r.aggregates.Store(q.ID, a)
+	r.aggregates.Store(a.key, a)
 	r.inFlight.Go(func() {
 		defer cancel()
 		a.run(runCtx)
@@ -99,7 +106,7 @@
 // AggregateRest returns the parts that were late in the reply to Aggregate, when they have arrived or have failed, or when q says that the
 // reply is due. It fails with *RefusedError if the grant, if any, was not accepted.
 func (r *Runner) AggregateRest(ctx context.Context, q aggregator.RestRequest) (aggregator.Reply, error) {
-	found, ok := r.aggregates.Load(q.ID)
+	found, ok := r.aggregates.Load(aggregateKey{id: q.ID, call: q.Call})
 	if !ok {
 		return aggregator.Reply{}, &RefusedError{Reason: "no parts of this request are late here"}
 	}
@@ -154,7 +161,7 @@
 
 // end refuses further calls for late parts and replies to the one that waits.
 func (a *aggregate) end() {
-	a.aggregates.CompareAndDelete(a.request.ID, a)
+	a.aggregates.CompareAndDelete(a.key, a)
 	close(a.ended)
 	a.close()
 	if a.call != nil {
--- a/internal/forward/runner/delegation.go
+++ b/internal/forward/runner/delegation.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -49,6 +50,7 @@
 	isAccepted bool           // the aggregator has replied to a call with the grant
 	late       aggregator.Set // the shards that are late at the aggregator
 	instance   membership.Member
+	call       uint64 // tells this call to the instance from others with the same identifier of the request
 	members    []*subrequest
 	cancelCall context.CancelFunc
 	start      time.Time
@@ -141,9 +143,10 @@
 func (e *execution) startDelegation(d *delegation, now time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), e.plan.Deadline)
 	d.execution, d.cancelCall, d.start, d.lateAt = e, cancel, now, now.Add(e.plan.AggregateDelay)
+	d.call = rand.Uint64()
 	e.delegations = append(e.delegations, d)
 	q := aggregator.Request{
-		ID: e.request.ID, Method: e.request.Method, Target: e.request.Target, Path: e.request.Path, Host: e.request.Host,
+		ID: e.request.ID, Call: d.call, Method: e.request.Method, Target: e.request.Target, Path: e.request.Path, Host: e.request.Host,
 		Header: e.request.Header, Workspace: e.request.Workspace, Body: e.request.Body, Revision: e.revision,
 		TimeLeftUS: e.plan.Deadline.Sub(now).Microseconds(), ObjectiveUS: max(0, e.plan.Objective.Sub(now).Microseconds()), Near: d.isNear,
 	}
@@ -231,7 +234,7 @@
 	if late.Len() == 0 {
 		return
 	}
-	q := aggregator.RestRequest{ID: d.request.ID}
+	q := aggregator.RestRequest{ID: d.request.ID, Call: d.call}
 	if d.isNear && !d.isGivenUp {
 		d.grant()
 		q.Grant, q.DueUS = true, max(1, (d.plan.Objective.Sub(now)-d.roundTrip-restMargin).Microseconds())
--- a/internal/forward/runner/near_test.go
+++ b/internal/forward/runner/near_test.go
@@ -368,3 +368,29 @@
 		require.Equal(t, before, f.arrivalCount())
 	})
 }
+
+// TestAggregatesOfEqualID guards against the late parts of one request being returned for another one with the same identifier, which
+// callers choose.
+func TestAggregatesOfEqualID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, thinShape(), fleetSize, false)
+		defer f.stopAll()
+		for _, p := range f.AllReplicas() {
+			p.SetUnresponsive(true)
+		}
+		r := f.instances[0].runner
+		q := f.NewRequest(600 * time.Millisecond)
+		for shard := range 2 {
+			rep, err := r.Aggregate(t.Context(), aggregator.Request{
+				ID: q.ID, Call: uint64(shard + 1), Method: q.Method, Target: q.Target, Path: q.Path, Host: q.Host, Revision: 1,
+				Shards: aggregator.Set{}.With(shard), TimeLeftUS: q.Timeout.Microseconds(), Near: true,
+			})
+			require.NoError(t, err)
+			require.True(t, rep.Late.Has(shard))
+		}
+		rep, err := r.AggregateRest(t.Context(), aggregator.RestRequest{ID: q.ID, Call: 1, Grant: true})
+		require.NoError(t, err)
+		require.True(t, rep.Sent.Has(0))
+		require.False(t, rep.Sent.Has(1))
+	})
+}
--- a/internal/forward/runner/runner.go
+++ b/internal/forward/runner/runner.go
@@ -81,7 +81,7 @@
 	admission               // of workspaces
 	region      string      // of this instance
 	aggregators Aggregators // nil if there are none
-	aggregates  sync.Map    // running *aggregate by identifier of the request
+	aggregates  sync.Map    // running *aggregate by aggregateKey
 }
 
 // Option configures a Runner.
