--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -143,7 +143,14 @@
 	g.membership.SetSeeds(s.Seeds)
 	g.membership.SetCapacity(s.Capacity)
 	g.aggregators.SetRegions(s.Regions)
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
+	applyMemoryLimit(s.MemoryBytes)
+}
+
+// applyMemoryLimit sets the soft memory limit of the Go runtime. It keeps the one in force if the memory of the instance is not known.
+func applyMemoryLimit(memoryBytes int64) {
+	if memoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memoryBytes)))
+	}
 }
 
 // applyLimits sets the limits on subrequests and on connections of callers, according to the memory and the sockets
@@ -156,9 +163,7 @@
 
 // Run serves until ctx ends, then finishes what is in flight.
 func (g *Gateway) Run(ctx context.Context) error {
-	if g.settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(g.settings.MemoryBytes)))
-	}
+	applyMemoryLimit(g.settings.MemoryBytes)
 	listeners, err := g.listen()
 	if err != nil {
 		return err
