--- a/internal/forward/aggregator/aggregator.go
+++ b/internal/forward/aggregator/aggregator.go
@@ -23,8 +23,8 @@
 )
 
 const (
-	// perRegion is the number of instances of each region that one instance asks where the gathering is not concentrated, so that the number of connections between instances
-	// does not grow with the square of the fleet.
+	// perRegion is the number of instances of each region that one instance asks where the gathering is not concentrated, so that the number
+	// of connections between instances does not grow with the square of the fleet.
 	perRegion = 2
 	// connectInterval is the time between two checks that the connections to them are open. It is below the time after which idle ones are
 	// closed.
--- a/internal/published/state/state.go
+++ b/internal/published/state/state.go
@@ -50,9 +50,9 @@
 	changed    chan struct{}    // closed by the next publish
 }
 
-// boundary is the revision of an applied batch of the present era. The entries hold all changes since it, but not those since a revision between two
-// boundaries: another instance that has read the store at that revision may know items that were written and removed, or removed and
-// written again, before the next batch of this one.
+// boundary is the revision of an applied batch of the present era. The entries hold all changes since it, but not those since a revision
+// between two boundaries: another instance that has read the store at that revision may know items that were written and removed, or
+// removed and written again, before the next batch of this one.
 type boundary struct {
 	revision     int64
 	supersededAt time.Time // zero for the newest
--- a/internal/workspace/borrower/borrower.go
+++ b/internal/workspace/borrower/borrower.go
@@ -16,8 +16,8 @@
 const (
 	// maxDenial is the longest time for which the word of a lender is relied on that it will have no permission. The limit may be raised.
 	maxDenial = time.Second
-	// minDenial is the shortest. A lender whose next permission was due within less than a nanosecond said 0, and an instance that was its
-	// own lender asked without end.
+	// minDenial is the shortest. A lender states 0 if its next permission is due within less than a nanosecond; an instance that is its own
+	// lender would ask it without end.
 	minDenial = time.Millisecond
 	// notLendingTime is the time after which an instance is asked again that did not lend yet or any more.
 	notLendingTime = 250 * time.Millisecond
--- a/internal/workspace/directory/directory.go
+++ b/internal/workspace/directory/directory.go
@@ -91,7 +91,7 @@
 	return large
 }
 
-// IsLarge reports whether the workspace is one of the 20 with the largest quotas, which have metrics of their own.
+// IsLarge reports whether the workspace is one of the maxLarge with the largest quotas, which have metrics of their own.
 func (d *Directory) IsLarge(name string) bool { return d.large[name] }
 
 // invalidName returns the reason why a name cannot be sent in a header, if any.
