--- a/internal/forward/runner/admission_test.go
+++ b/internal/forward/runner/admission_test.go
@@ -180,6 +180,25 @@
 	}
 }
 
+// TestKeyOfAgingView guards against the sending of a request whose view has become too old for its keys since the request arrived. Nobody
+// knows whether the key was removed, so that the reply is 503.
+func TestKeyOfAgingView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := newKeyed(t, orderShape())
+		defer k.stop()
+		k.runner.SetMaxKeyAge(2 * staleViewAge)
+		q := k.request("key")
+		q.ReadBody = func() ([]byte, error) { k.age.Store(int64(2*staleViewAge + 1)); return nil, nil }
+		require.Equal(t, http.StatusServiceUnavailable, k.run(q).Status)
+		require.Zero(t, k.arrivals())
+
+		k.age.Store(0)
+		time.AfterFunc(3*time.Millisecond, func() { k.age.Store(int64(2*staleViewAge + 1)) })
+		require.Equal(t, http.StatusServiceUnavailable, k.run(k.request("key")).Status, "while a connection is opened")
+		require.Zero(t, k.arrivals())
+	})
+}
+
 // TestRemovedKeyDuringGather checks that a search goes on to shards that were not reached before the key was removed, once a part of it
 // has been sent, and that it is refused if none has.
 func TestRemovedKeyDuringGather(t *testing.T) {
@@ -284,3 +303,29 @@
 		require.ErrorAs(t, err, &refused)
 	})
 }
+
+// TestPermitOfNearRequest guards against a request that an aggregator of the region has run counting as not sent: its permission would be
+// used again, and a removed key would be answered with 401 after the request has run.
+func TestPermitOfNearRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, thinShape(), fleetSize, false)
+		defer f.stopAll()
+		k := &keyed{harness: &harness{T: t, Testbed: f.Testbed}, revision: f.Published.Table.Revision()}
+		limited := workspace.Workspace{Name: "w", Quota: workspace.Quota{Rate: 1}}
+		k.publishKeys(limited, "key")
+		for _, x := range f.instances {
+			x.runner.viewer = k
+		}
+		q := &fakeQuotas{permissions: 2}
+		_, others := f.aggregators()
+		r := others[0].runner
+		r.quotas = q
+		require.Equal(t, http.StatusOK, r.Run(t.Context(), k.request("key")).Status)
+		require.Positive(t, others[0].asked.Load())
+		require.Equal(t, 1, q.permissions)
+
+		time.AfterFunc(peerLatency+time.Millisecond, func() { k.publishKeys(limited, "another") })
+		require.Equal(t, http.StatusOK, r.Run(t.Context(), k.request("key")).Status)
+		require.Zero(t, q.permissions)
+	})
+}
--- a/internal/forward/runner/aggregate.go
+++ b/internal/forward/runner/aggregate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"crocuswing/internal/forward/aggregator"
@@ -30,6 +31,7 @@
 // own callers. In both cases the late attempts continue, and later replies hold their parts.
 type aggregate struct {
 	*execution
+	key      aggregateKey
 	first    chan aggregator.Reply
 	ended    chan struct{} // closed when no call for late parts is accepted any more
 	cancel   context.CancelFunc
@@ -39,6 +41,12 @@
 	abandonAt time.Time
 }
 
+// aggregateKey identifies an aggregate. The identifier of the request does not suffice, since callers choose it.
+type aggregateKey struct {
+	id   string
+	call uint64
+}
+
 // restCall is a call for the late parts of an aggregate.
 type restCall struct {
 	isGrant bool
@@ -70,9 +78,9 @@
 	}
 	r.countAggregate("served", e.isNear)
 	runCtx, cancel := context.WithDeadline(context.Background(), e.plan.Deadline)
-	a := &aggregate{execution: e, first: make(chan aggregator.Reply, 1), ended: make(chan struct{}), cancel: cancel}
+	a := &aggregate{execution: e, key: aggregateKey{id: q.ID, call: q.Call}, first: make(chan aggregator.Reply, 1), ended: make(chan struct{}), cancel: cancel}
 	a.firstDue = e.request.Arrived.Add(a.firstDelay())
-	r.aggregates.Store(q.ID, a)
+	r.aggregates.Store(a.key, a)
 	r.inFlight.Go(func() {
 		defer cancel()
 		a.run(runCtx)
@@ -98,7 +106,7 @@
 // AggregateRest returns the parts that were late in the reply to Aggregate, when they have arrived or have failed, or when q says that the
 // reply is due. It fails with *RefusedError if the grant, if any, was not accepted.
 func (r *Runner) AggregateRest(ctx context.Context, q aggregator.RestRequest) (aggregator.Reply, error) {
-	found, ok := r.aggregates.Load(q.ID)
+	found, ok := r.aggregates.Load(aggregateKey{id: q.ID, call: q.Call})
 	if !ok {
 		return aggregator.Reply{}, &RefusedError{Reason: "no parts of this request are late here"}
 	}
@@ -153,7 +161,7 @@
 
 // end refuses further calls for late parts and replies to the one that waits.
 func (a *aggregate) end() {
-	a.aggregates.CompareAndDelete(a.request.ID, a)
+	a.aggregates.CompareAndDelete(a.key, a)
 	close(a.ended)
 	a.close()
 	if a.call != nil {
@@ -287,20 +295,20 @@
 		e.plan.Objective = req.Arrived.Add(time.Duration(q.ObjectiveUS) * time.Microsecond)
 	}
 	e.commands = make(chan func(time.Time))
-	var asked []*subrequest
-	for _, s := range e.subrequests {
-		if q.Shards.Has(s.index) {
-			asked = append(asked, s)
-		}
-	}
-	if len(asked) != q.Shards.Len() {
+	if !e.keepShards(q.Shards) {
 		return nil, &RefusedError{Reason: fmt.Sprintf("the route has %d shards here", len(rt.Shards))}
 	}
-	e.subrequests = asked
-	e.required = max(0, e.required-(len(rt.Shards)-len(asked)))
 	return e, nil
 }
 
+// keepShards removes the subrequests of all other shards, and reports whether the route has all of the given ones.
+func (e *execution) keepShards(shards aggregator.Set) bool {
+	former := len(e.subrequests)
+	e.subrequests = slices.DeleteFunc(e.subrequests, func(s *subrequest) bool { return !shards.Has(s.index) })
+	e.required = max(0, e.required-(former-len(e.subrequests)))
+	return len(e.subrequests) == shards.Len()
+}
+
 // reply merges the parts that have arrived since the last reply.
 func (a *aggregate) reply() aggregator.Reply {
 	m := merge.New(a.route.TopK)
