--- a/internal/settings/deployment/deployment.go
+++ b/internal/settings/deployment/deployment.go
@@ -118,19 +118,27 @@
 			return &Error{Key: a.key, Reason: reason}
 		}
 	}
+	if err := s.checkMachine(); err != nil {
+		return err
+	}
+	if s.CrossingPrice < 0 || s.CrossingPrice > MaxCrossingPrice {
+		return &Error{Key: "crossing-price", Reason: fmt.Sprintf("is %v, want 0 to %v", s.CrossingPrice, MaxCrossingPrice)}
+	}
+	return s.check()
+}
+
+// checkMachine checks the limits of the machine.
+func (s Settings) checkMachine() error {
 	if s.MemoryBytes < 0 || s.MemoryBytes > MaxMemoryBytes {
 		return &Error{Key: "memory", Reason: fmt.Sprintf("is %d bytes, want 0 to %d", s.MemoryBytes, int64(MaxMemoryBytes))}
 	}
 	if s.MaxSockets < 0 || s.MaxSockets > MaxCount {
 		return &Error{Key: "sockets", Reason: fmt.Sprintf("is %d, want 0 to %d", s.MaxSockets, MaxCount)}
 	}
-	if s.CrossingPrice < 0 || s.CrossingPrice > MaxCrossingPrice {
-		return &Error{Key: "crossing-price", Reason: fmt.Sprintf("is %v, want 0 to %v", s.CrossingPrice, MaxCrossingPrice)}
-	}
 	if s.Capacity < 0 || s.Capacity > MaxCount {
 		return &Error{Key: "capacity", Reason: fmt.Sprintf("want 0 to %d thousandths of a core", MaxCount)}
 	}
-	return s.check()
+	return nil
 }
 
 func (b Bounds) check() error {
