feat(soak): workspaces with keys and quotas

Callers send keys of three workspaces, and some withdrawn, unknown and missing ones. The checker holds that upstreams get the workspace in place of the key, that unknown and withdrawn keys run nothing, and that a workspace stays within its quota.

--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -80,6 +80,7 @@
 	for _, q := range s.Settled {
 		c.checkRuns(q) // an upstream may have run the request after it was checked
 	}
+	c.checkQuotas()
 	c.checkExtraAttempts()
 	c.checkColdRate()
 	if s.Unfinished > 0 {
@@ -103,6 +104,7 @@
 // checkUntimed checks the promises without time limits, which also hold during disruptions.
 func (c *Checker) checkUntimed(q record.Request) {
 	c.checkRuns(q)
+	c.checkKey(q)
 	for _, a := range q.Arrivals {
 		if a.Method != q.Method || a.Target != q.Path {
 			c.report("requests are passed on unchanged", q.ID, fmt.Sprintf("sent %s %s, upstream received %s %s", q.Method, q.Path, a.Method, a.Target))
@@ -153,7 +155,7 @@
 		}
 	}
 	switch q.Status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+	case http.StatusUnauthorized, http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		if total > 0 {
 			c.report("what is refused has not run", q.ID, fmt.Sprintf("status %d, but ran %d times", q.Status, total))
 		}
--- a/internal/soak/checker/timed.go
+++ b/internal/soak/checker/timed.go
@@ -17,6 +17,7 @@
 	c.checkCutOff(q)
 	c.checkPlacement(q)
 	c.checkRevision(q)
+	c.checkWithdrawnKey(q)
 }
 
 // isUndisrupted reports whether neither the instance nor the store was disrupted between from and until, nor within the
--- a/internal/soak/record/record.go
+++ b/internal/soak/record/record.go
@@ -10,6 +10,7 @@
 
 	"crocuswing/internal/routing/route"
 	"crocuswing/internal/standin/replica"
+	"crocuswing/internal/standin/tenant"
 )
 
 // Request is one request of a caller.
@@ -22,6 +23,9 @@
 	Sent, Ended   time.Time
 	// Timeout is the time limit that the caller sent with the request.
 	Timeout time.Duration
+	// Key is the key that the caller sent, or empty. IsEntitled reports whether the newest configuration held it, without a quota.
+	Key        string
+	IsEntitled bool
 	// Canceled reports whether the caller left before an answer arrived.
 	Canceled bool
 	// Status is 0 if there was no answer; Err is the reason.
@@ -45,6 +49,7 @@
 	Revision    int64
 	Sent, Acked time.Time
 	Routes      []route.Route
+	Tenants     []tenant.Tenant
 }
 
 // Span is a period of time during which a state lasted. Until is zero while it still lasts.
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -34,7 +34,7 @@
 	recoveryTimeout = 12 * time.Second
 	// minRequests is the number of requests from which minServedShare applies to an instance.
 	minRequests = 20
-	// minServedShare is the minimum share of successful requests to each instance after the recovery.
+	// minServedShare is the minimum share of successful requests, of those that are entitled, to each instance after the recovery.
 	minServedShare = 0.9
 	// maxFindingsShown is the maximum number of findings that the report lists for each broken promise.
 	maxFindingsShown = 3
@@ -146,7 +146,8 @@
 	return true
 }
 
-// checkRecovery waits until every instance is ready after the last disruption, then checks that each serves requests.
+// checkRecovery waits until every instance is ready after the last disruption, then checks that each serves the requests that
+// neither their key nor a quota refuses.
 func (r *Run) checkRecovery(ctx context.Context) {
 	if !r.waitUntil(ctx, recoveryTimeout, func() bool { return r.readyCount() == len(r.site.Instances) }) {
 		r.record.AddFinding("instances recover", "", fmt.Sprintf("%d of %d instances ready after %v", r.readyCount(), len(r.site.Instances), recoveryTimeout))
@@ -156,7 +157,7 @@
 	pause.For(ctx, recoveryTimeout/2)
 	served, requests := make(map[string]int), make(map[string]int)
 	for _, q := range r.record.SnapshotBefore(time.Now()).Settled {
-		if q.Sent.Before(start.Add(recoveryTimeout/4)) || q.Canceled {
+		if q.Sent.Before(start.Add(recoveryTimeout/4)) || q.Canceled || !q.IsEntitled {
 			continue
 		}
 		requests[q.Instance]++
--- a/internal/soak/site/site.go
+++ b/internal/soak/site/site.go
@@ -20,6 +20,7 @@
 	"crocuswing/internal/settings/deployment"
 	"crocuswing/internal/soak/record"
 	"crocuswing/internal/standin/replica"
+	"crocuswing/internal/standin/tenant"
 )
 
 // Host is the host name of all routes.
@@ -56,6 +57,7 @@
 var Bounds = deployment.Bounds{
 	ReportInterval: 1200 * time.Millisecond, DrainTime: 3 * time.Second, MaxApplyTime: 3 * time.Second, MaxStopTime: 6 * time.Second,
 	ExtraRatio: 0.2, ExtraSlack: 58, ExtraWindow: 10 * time.Second, ColdFactor: 1.5, ColdSlack: 5,
+	QuotaWindow: 5 * time.Second, QuotaOverage: 0.25, QuotaSlack: 20,
 }
 
 // MaxColdRate is the maximum number of requests per second to a cold upstream: coldRate with the cold factor and slack of Bounds.
@@ -75,7 +77,7 @@
 	http.Handler
 	Register(r registration.Registration)
 	Unregister(upstream string)
-	Configure(revision int64, routes []route.Route, services []service.Service, l limits.Limits)
+	Configure(revision int64, routes []route.Route, services []service.Service, tenants []tenant.Tenant, l limits.Limits)
 	SetDomainExcluded(domain string, excluded bool)
 	Compact()
 	SetFault(fault func(w http.ResponseWriter) bool)
@@ -103,6 +105,8 @@
 	layout       int
 	orderService int
 	extraRoute   int64
+	// keyGeneration is the number in the older of the two keys that each workspace has.
+	keyGeneration int
 }
 
 // shardCounts are the numbers of shards in the two layouts of the search index.
@@ -170,26 +174,28 @@
 	return append([]*Upstream(nil), s.upstreams...)
 }
 
-// Reconfigure writes the next configuration to the store. It differs from the previous one in the order service, the layout or
-// the extra route, and its revision is 1 to 4 higher.
+// Reconfigure writes the next configuration to the store. It differs from the previous one in the order service, the layout,
+// the extra route or the keys of the workspaces, and its revision is 1 to 4 higher.
 func (s *Site) Reconfigure() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.revision > 0 {
-		switch s.random.IntN(3) {
+		switch s.random.IntN(4) {
 		case 0:
 			s.orderService = 1 - s.orderService
 		case 1:
 			s.layout = 1 - s.layout
+		case 2:
+			s.keyGeneration++
 		default:
 			s.extraRoute = s.revision + 1
 		}
 	}
 	s.revision += 1 + s.random.Int64N(4)
-	routes := s.routes()
-	v := record.Version{Revision: s.revision, Sent: time.Now(), Routes: routes}
+	routes, tenants := s.routes(), s.tenants()
+	v := record.Version{Revision: s.revision, Sent: time.Now(), Routes: routes, Tenants: tenants}
 	s.SetVersion(v)
-	s.Configure(s.revision, routes, s.serviceConfigs(), limits.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 256 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second})
+	s.Configure(s.revision, routes, s.serviceConfigs(), tenants, limits.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 256 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second})
 	v.Acked = time.Now()
 	s.SetVersion(v)
 }
--- a/internal/soak/traffic/traffic.go
+++ b/internal/soak/traffic/traffic.go
@@ -114,6 +114,7 @@
 	default:
 		q.Path = c.site.ExtraRoutePath() + "x"
 	}
+	q.Key, q.IsEntitled = c.site.DrawKey(c.random)
 	wait := q.Timeout + lateWait
 	if c.random.Float64() < cancelShare {
 		wait = time.Duration(c.random.Int64N(int64(maxCancelDelay)))
@@ -131,7 +132,11 @@
 	resp, err := l.Forward(ctx, link.Request{
 		Method: q.Method, Target: q.Path, Host: site.Host, Body: body,
 		Header: func() http.Header {
-			return http.Header{headers.RequestID: {q.ID}, headers.Deadline: {strconv.FormatInt(q.Timeout.Milliseconds(), 10)}, "User-Agent": nil}
+			h := http.Header{headers.RequestID: {q.ID}, headers.Deadline: {strconv.FormatInt(q.Timeout.Milliseconds(), 10)}, "User-Agent": nil}
+			if q.Key != "" {
+				h.Set("Authorization", "Bearer "+q.Key)
+			}
+			return h
 		},
 	})
 	var f *failure.Failure
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -29,6 +29,8 @@
 	Proofs, Missing string
 	// Leaving is a header of all responses of a replica that is leaving.
 	Leaving string
+	// Tenant is the header with the name of the caller's workspace.
+	Tenant string
 }
 
 // Arrival describes a request that reached an upstream.
@@ -37,6 +39,8 @@
 	At                           time.Time
 	// Ran reports whether the upstream began to run the request.
 	Ran bool
+	// Header and Trailer are those of the request.
+	Header, Trailer http.Header
 }
 
 // Options configures a replica.
@@ -207,7 +211,7 @@
 	}
 	ctx, cancel := p.withDeadline(r)
 	defer cancel()
-	arrival := Arrival{Upstream: p.id, ID: id, Method: r.Method, Target: r.RequestURI, At: time.Now()}
+	arrival := Arrival{Upstream: p.id, ID: id, Method: r.Method, Target: r.RequestURI, At: time.Now(), Header: r.Header, Trailer: r.Trailer}
 	arrival.Ran = p.acquireSlot(ctx)
 	if p.options.Observe != nil {
 		p.options.Observe(arrival)
