feat(soak): the store comes back from an older copy

Operators and upstreams write again what was lost. A configuration, a withdrawn key, a failure domain that is out and an upstream that leaves hold across the return if they were in force before it.

--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -121,6 +121,14 @@
 		{"reverts", "a revision never reverts", func(s *record.Snapshot) {
 			s.Settled = []record.Request{order("o1", 30.5, "new"), order("o2", 31, "old")}
 		}},
+		{"reverts with the store", "a failure domain that is out gets no work", func(s *record.Snapshot) {
+			s.Excluded = map[string][]record.Span{"a": {{From: at(14), Until: at(21)}}}
+			s.Restored = []record.Span{{From: at(18), Until: at(19)}}
+		}},
+		{"lost by the store", "", func(s *record.Snapshot) {
+			s.Excluded = map[string][]record.Span{"a": {{From: at(14), Until: at(21)}}}
+			s.Restored = []record.Span{{From: at(16), Until: at(17)}}
+		}},
 		{"no end", "every request ends", func(s *record.Snapshot) { s.Unfinished = 1 }},
 		{"extra attempts", "extra attempts stay within their bound", func(s *record.Snapshot) {
 			for range site.Bounds.ExtraSlack + 2 {
--- a/internal/soak/fault/fault.go
+++ b/internal/soak/fault/fault.go
@@ -139,6 +139,7 @@
 		{"settings", func(r *rand.Rand) { inj.changeSettings(inj.randomInstance(r), r) }},
 		{"upstream leaves", func(r *rand.Rand) { inj.drainUpstream(inj.randomUpstream(r)) }},
 		{"failure domain out", inj.excludeDomain},
+		{"store comes back from an older copy", inj.restoreStore},
 	}
 }
 
@@ -321,6 +322,19 @@
 	inj.site.ExcludeDomainFor(site.Domains[r.IntN(len(site.Domains))], exclusionTime)
 }
 
+// restoreStore makes the store come back from a copy that lacks at least one configuration. Operators and upstreams write again what
+// it has lost up to 1.2 s later, the interval at which upstreams report.
+func (inj *Injector) restoreStore(r *rand.Rand) {
+	restore := inj.site.Checkpoint()
+	inj.site.Reconfigure()
+	inj.holdFault(r)
+	inj.site.MarkRestored(true)
+	restore()
+	time.Sleep(time.Duration(r.Int64N(int64(site.Bounds.ReportInterval))))
+	inj.site.RewriteStore()
+	inj.site.MarkRestored(false)
+}
+
 // disruptProxy delays, resets, stalls, blocks in one direction or refuses the connections through a proxy.
 func (inj *Injector) disruptProxy(name string, p *proxy.Proxy, r *rand.Rand) {
 	inj.disrupt(name, r, func() {
--- a/internal/soak/record/record.go
+++ b/internal/soak/record/record.go
@@ -74,6 +74,7 @@
 	excluded     map[string][]Span    // by failure domain
 	disruptions  map[string][]Span    // by instance; those of the store under Store
 	plannedStops map[string][]Span    // by instance
+	restored     map[string][]Span    // only under Store
 	findings     []Finding
 }
 
@@ -94,6 +95,7 @@
 	return &Record{
 		requests: make(map[string]*Request), draining: make(map[string]time.Time), cold: make(map[string][]Span),
 		excluded: make(map[string][]Span), disruptions: make(map[string][]Span), plannedStops: make(map[string][]Span),
+		restored: make(map[string][]Span),
 	}
 }
 
@@ -171,6 +173,9 @@
 	return slices.ContainsFunc(r.disruptions[name], func(s Span) bool { return s.Overlaps(since, now) })
 }
 
+// MarkRestored records that the store came back from an older copy, or that what it had lost is written again.
+func (r *Record) MarkRestored(restored bool) { r.markSpan(r.restored, Store, restored) }
+
 // MarkStopping records that a planned stop begins, or has ended with the restart of the instance.
 func (r *Record) MarkStopping(instance string, stopping bool) {
 	r.markSpan(r.plannedStops, instance, stopping)
@@ -217,6 +222,8 @@
 	Draining   map[string]time.Time
 
 	Excluded, Cold, Disruptions, PlannedStops map[string][]Span
+	// Restored are the periods from a return of the store from an older copy until what it had lost is written again.
+	Restored []Span
 }
 
 // SnapshotBefore returns a snapshot of the record whose settled requests are those that ended before the given time.
@@ -227,6 +234,7 @@
 		Unmatched: append([]Arrival(nil), r.unmatched...), Versions: append([]Version(nil), r.versions...),
 		Unfinished: len(r.requests) - len(r.settled), Draining: make(map[string]time.Time, len(r.draining)),
 		Excluded: cloneSpans(r.excluded), Cold: cloneSpans(r.cold), Disruptions: cloneSpans(r.disruptions), PlannedStops: cloneSpans(r.plannedStops),
+		Restored: append([]Span(nil), r.restored[Store]...),
 	}
 	for name, since := range r.draining {
 		s.Draining[name] = since
--- a/internal/soak/site/site.go
+++ b/internal/soak/site/site.go
@@ -80,6 +80,8 @@
 	Configure(revision int64, routes []route.Route, services []service.Service, tenants []tenant.Tenant, l limits.Limits)
 	SetDomainExcluded(domain string, excluded bool)
 	Compact()
+	// Checkpoint copies the store and returns a function that makes it come back from the copy.
+	Checkpoint() (restore func())
 	SetFault(fault func(w http.ResponseWriter) bool)
 	// Settings returns the content of an instance's settings file.
 	Settings(d deployment.Settings) []byte
@@ -248,12 +250,34 @@
 	s.MarkExcluded(domain, true)
 	time.Sleep(d)
 	s.MarkExcluded(domain, false)
-	s.SetDomainExcluded(domain, false)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.SetDomainExcluded(domain, false)
 	delete(s.excluded, domain)
 }
 
+// RewriteStore writes again what upstreams and operators last wrote, as they do after the store came back from an older copy.
+func (s *Site) RewriteStore() {
+	running := make(map[string]bool)
+	for _, u := range s.Upstreams() {
+		running[u.ID()] = true
+	}
+	s.mu.Lock()
+	for i := range s.upstreamCount {
+		if name := upstreamName(i + 1); !running[name] {
+			s.Unregister(name)
+		}
+	}
+	for _, domain := range Domains {
+		s.SetDomainExcluded(domain, s.excluded[domain])
+	}
+	s.mu.Unlock()
+	for _, u := range s.Upstreams() {
+		u.repeatRegistration()
+	}
+	s.Reconfigure()
+}
+
 // SetStoreFault marks the store as disrupted and makes it call fault for each request; the store answers the request only if
 // fault returns false. A nil fault ends the disruption.
 func (s *Site) SetStoreFault(fault func(w http.ResponseWriter) bool) {
--- a/internal/soak/site/upstream.go
+++ b/internal/soak/site/upstream.go
@@ -42,9 +42,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.upstreamCount++
-	return fmt.Sprintf("u-%d", s.upstreamCount)
+	return upstreamName(s.upstreamCount)
 }
 
+func upstreamName(n int) string { return fmt.Sprintf("u-%d", n) }
+
 // startUpstream starts an upstream behind a proxy and registers it. If cold is above 0, it is registered as cold for that time.
 func (s *Site) startUpstream(name, service, domain string, p *proxy.Proxy, cold time.Duration) (*Upstream, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -99,6 +101,16 @@
 	u.site.Register(u.registration)
 }
 
+// repeatRegistration registers the upstream again in its present state, with the remaining time for which it is cold.
+func (u *Upstream) repeatRegistration() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.registration.Sequence++
+	r := u.registration
+	r.Cold = max(0, r.Cold-time.Since(time.UnixMilli(r.Incarnation)))
+	u.site.Register(r)
+}
+
 // ExpireRegistration removes the registration of the upstream, which keeps running; RenewRegistration restores it.
 func (u *Upstream) ExpireRegistration() { u.site.Unregister(u.ID()) }
 
