--- a/internal/soak/site/site.go
+++ b/internal/soak/site/site.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -96,6 +98,7 @@
 	Instances []*Instance
 
 	server        *http.Server
+	instanceCount int
 	mu            sync.Mutex
 	random        *rand.Rand
 	upstreams     []*Upstream
@@ -114,6 +117,10 @@
 // shardCounts are the numbers of shards in the two layouts of the search index.
 var shardCounts = []int{6, 9}
 
+// nearLayout is the layout whose upstreams accept only one connection for each instance. Instances use 0.85 of the connections, which
+// does not suffice for one each, so that near aggregators gather its shards. Changes of the layout switch this on and off.
+const nearLayout = 0
+
 // New starts the store and the upstreams and prepares n instances that run program with settings in dir. It does not start the
 // instances.
 func New(s Store, r *record.Record, program []string, dir string, n int, random *rand.Rand) (*Site, error) {
@@ -121,7 +128,7 @@
 	if err != nil {
 		return nil, err
 	}
-	site := &Site{Store: s, Record: r, server: &http.Server{Handler: s, ReadHeaderTimeout: Timeout}, random: random, excluded: make(map[string]bool)}
+	site := &Site{Store: s, Record: r, server: &http.Server{Handler: s, ReadHeaderTimeout: Timeout}, instanceCount: n, random: random, excluded: make(map[string]bool)}
 	go func() { _ = site.server.Serve(l) }() // returns after Close
 	for _, name := range site.serviceNames() {
 		for _, domain := range upstreamDomains {
@@ -167,7 +174,9 @@
 	return names
 }
 
-func shardName(layout, i int) string { return fmt.Sprintf("part-%d-%d", layout, i) }
+func shardPrefix(layout int) string { return fmt.Sprintf("part-%d-", layout) }
+
+func shardName(layout, i int) string { return shardPrefix(layout) + strconv.Itoa(i) }
 
 // Upstreams returns the running upstreams.
 func (s *Site) Upstreams() []*Upstream {
@@ -221,11 +230,15 @@
 	return routes
 }
 
-// serviceConfigs returns the configurations of all services.
+// serviceConfigs returns the configurations of all services, with few connections to those of nearLayout.
 func (s *Site) serviceConfigs() []service.Service {
 	var all []service.Service
 	for _, name := range s.serviceNames() {
-		all = append(all, service.Service{Name: name, MaxConnections: maxConnections, ColdRate: coldRate})
+		v := service.Service{Name: name, MaxConnections: maxConnections, ColdRate: coldRate}
+		if strings.HasPrefix(name, shardPrefix(nearLayout)) {
+			v.MaxConnections = s.instanceCount
+		}
+		all = append(all, v)
 	}
 	return all
 }
