--- a/internal/soak/site/site.go
+++ b/internal/soak/site/site.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,6 +22,7 @@
 	"crocuswing/internal/settings/deployment"
 	"crocuswing/internal/soak/record"
 	"crocuswing/internal/standin/replica"
+	"crocuswing/internal/standin/tenant"
 )
 
 // Host is the host name of all routes.
@@ -56,6 +59,7 @@
 var Bounds = deployment.Bounds{
 	ReportInterval: 1200 * time.Millisecond, DrainTime: 3 * time.Second, MaxApplyTime: 3 * time.Second, MaxStopTime: 6 * time.Second,
 	ExtraRatio: 0.2, ExtraSlack: 58, ExtraWindow: 10 * time.Second, ColdFactor: 1.5, ColdSlack: 5,
+	QuotaWindow: 5 * time.Second, QuotaOverage: 0.25, QuotaSlack: 20,
 }
 
 // MaxColdRate is the maximum number of requests per second to a cold upstream: coldRate with the cold factor and slack of Bounds.
@@ -75,9 +79,11 @@
 	http.Handler
 	Register(r registration.Registration)
 	Unregister(upstream string)
-	Configure(revision int64, routes []route.Route, services []service.Service, l limits.Limits)
+	Configure(revision int64, routes []route.Route, services []service.Service, tenants []tenant.Tenant, l limits.Limits)
 	SetDomainExcluded(domain string, excluded bool)
 	Compact()
+	// Checkpoint copies the store and returns a function that makes it come back from the copy.
+	Checkpoint() (restore func())
 	SetFault(fault func(w http.ResponseWriter) bool)
 	// Settings returns the content of an instance's settings file.
 	Settings(d deployment.Settings) []byte
@@ -92,6 +98,7 @@
 	Instances []*Instance
 
 	server        *http.Server
+	instanceCount int
 	mu            sync.Mutex
 	random        *rand.Rand
 	upstreams     []*Upstream
@@ -103,11 +110,17 @@
 	layout       int
 	orderService int
 	extraRoute   int64
+	// keyGeneration is the number in the older of the two keys that each workspace has.
+	keyGeneration int
 }
 
 // shardCounts are the numbers of shards in the two layouts of the search index.
 var shardCounts = []int{6, 9}
 
+// nearLayout is the layout whose upstreams accept only one connection for each instance. Instances use 0.85 of the connections, which
+// does not suffice for one each, so that near aggregators gather its shards. Changes of the layout switch this on and off.
+const nearLayout = 0
+
 // New starts the store and the upstreams and prepares n instances that run program with settings in dir. It does not start the
 // instances.
 func New(s Store, r *record.Record, program []string, dir string, n int, random *rand.Rand) (*Site, error) {
@@ -115,7 +128,7 @@
 	if err != nil {
 		return nil, err
 	}
-	site := &Site{Store: s, Record: r, server: &http.Server{Handler: s, ReadHeaderTimeout: Timeout}, random: random, excluded: make(map[string]bool)}
+	site := &Site{Store: s, Record: r, server: &http.Server{Handler: s, ReadHeaderTimeout: Timeout}, instanceCount: n, random: random, excluded: make(map[string]bool)}
 	go func() { _ = site.server.Serve(l) }() // returns after Close
 	for _, name := range site.serviceNames() {
 		for _, domain := range upstreamDomains {
@@ -161,7 +174,9 @@
 	return names
 }
 
-func shardName(layout, i int) string { return fmt.Sprintf("part-%d-%d", layout, i) }
+func shardPrefix(layout int) string { return fmt.Sprintf("part-%d-", layout) }
+
+func shardName(layout, i int) string { return shardPrefix(layout) + strconv.Itoa(i) }
 
 // Upstreams returns the running upstreams.
 func (s *Site) Upstreams() []*Upstream {
@@ -170,26 +185,28 @@
 	return append([]*Upstream(nil), s.upstreams...)
 }
 
-// Reconfigure writes the next configuration to the store. It differs from the previous one in the order service, the layout or
-// the extra route, and its revision is 1 to 4 higher.
+// Reconfigure writes the next configuration to the store. It differs from the previous one in the order service, the layout,
+// the extra route or the keys of the workspaces, and its revision is 1 to 4 higher.
 func (s *Site) Reconfigure() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.revision > 0 {
-		switch s.random.IntN(3) {
+		switch s.random.IntN(4) {
 		case 0:
 			s.orderService = 1 - s.orderService
 		case 1:
 			s.layout = 1 - s.layout
+		case 2:
+			s.keyGeneration++
 		default:
 			s.extraRoute = s.revision + 1
 		}
 	}
 	s.revision += 1 + s.random.Int64N(4)
-	routes := s.routes()
-	v := record.Version{Revision: s.revision, Sent: time.Now(), Routes: routes}
+	routes, tenants := s.routes(), s.tenants()
+	v := record.Version{Revision: s.revision, Sent: time.Now(), Routes: routes, Tenants: tenants}
 	s.SetVersion(v)
-	s.Configure(s.revision, routes, s.serviceConfigs(), limits.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 256 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second})
+	s.Configure(s.revision, routes, s.serviceConfigs(), tenants, limits.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 256 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second})
 	v.Acked = time.Now()
 	s.SetVersion(v)
 }
@@ -213,11 +230,15 @@
 	return routes
 }
 
-// serviceConfigs returns the configurations of all services.
+// serviceConfigs returns the configurations of all services, with few connections to those of nearLayout.
 func (s *Site) serviceConfigs() []service.Service {
 	var all []service.Service
 	for _, name := range s.serviceNames() {
-		all = append(all, service.Service{Name: name, MaxConnections: maxConnections, ColdRate: coldRate})
+		v := service.Service{Name: name, MaxConnections: maxConnections, ColdRate: coldRate}
+		if strings.HasPrefix(name, shardPrefix(nearLayout)) {
+			v.MaxConnections = s.instanceCount
+		}
+		all = append(all, v)
 	}
 	return all
 }
@@ -242,12 +263,34 @@
 	s.MarkExcluded(domain, true)
 	time.Sleep(d)
 	s.MarkExcluded(domain, false)
-	s.SetDomainExcluded(domain, false)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.SetDomainExcluded(domain, false)
 	delete(s.excluded, domain)
 }
 
+// RewriteStore writes again what upstreams and operators last wrote, as they do after the store came back from an older copy.
+func (s *Site) RewriteStore() {
+	running := make(map[string]bool)
+	for _, u := range s.Upstreams() {
+		running[u.ID()] = true
+	}
+	s.mu.Lock()
+	for i := range s.upstreamCount {
+		if name := upstreamName(i + 1); !running[name] {
+			s.Unregister(name)
+		}
+	}
+	for _, domain := range Domains {
+		s.SetDomainExcluded(domain, s.excluded[domain])
+	}
+	s.mu.Unlock()
+	for _, u := range s.Upstreams() {
+		u.repeatRegistration()
+	}
+	s.Reconfigure()
+}
+
 // SetStoreFault marks the store as disrupted and makes it call fault for each request; the store answers the request only if
 // fault returns false. A nil fault ends the disruption.
 func (s *Site) SetStoreFault(fault func(w http.ResponseWriter) bool) {
