--- a/internal/forward/runner/near.go
+++ b/internal/forward/runner/near.go
@@ -25,7 +25,7 @@
 	if !e.hasFallback() || e.aggregators.GathersItself() || !e.route.Allows(e.region) || e.plan.ReplyDeadline.Sub(now) < 2*e.plan.AggregateDelay {
 		return false
 	}
-	return e.request.MaySend() && e.askNear(now)
+	return e.askNear(now)
 }
 
 // askNear asks an aggregator of this region that was not asked yet, and reports whether there was one.
