--- a/internal/published/follower/initial_test.go
+++ b/internal/published/follower/initial_test.go
@@ -21,12 +21,12 @@
 	err   error // of the reads that begin later
 	reads atomic.Int64
 	inUse atomic.Int64
-	most  int64 // reads at the same time
+	most  atomic.Int64 // reads at the same time
 }
 
 func (s *silentSource) Read(ctx context.Context) (change.Batch, error) {
 	s.reads.Add(1)
-	s.most = max(s.most, s.inUse.Add(1))
+	s.most.Store(max(s.most.Load(), s.inUse.Add(1)))
 	defer s.inUse.Add(-1)
 	ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
 	defer cancel()
@@ -48,7 +48,7 @@
 			require.NoError(t, err)
 			require.EqualValues(t, 7, batch.Age)
 			require.LessOrEqual(t, time.Since(s.back), initialHedgeDelay)
-			require.LessOrEqual(t, s.most, int64(maxInitialReads))
+			require.LessOrEqual(t, s.most.Load(), int64(maxInitialReads))
 		})
 	}
 }
