--- a/internal/forward/runner/explain.go
+++ b/internal/forward/runner/explain.go
@@ -35,10 +35,12 @@
 		rep.Refusal = reportRefusal(refusal)
 		return rep
 	}
-	rt, ok := h.view.Table.Restrict(h.route, req.Workspace)
-	if !ok {
-		rep.Refusal = reportRefusal(reply.Failed(http.StatusUnauthorized, "the workspace is unknown"))
-		return rep
+	rt := h.route
+	if _, hasWorkspaces := h.view.Table.Workspaces(); hasWorkspaces {
+		if rt, ok = h.view.Table.Restrict(rt, req.Workspace); !ok {
+			rep.Refusal = reportRefusal(reply.Failed(http.StatusUnauthorized, "the workspace is unknown"))
+			return rep
+		}
 	}
 	e, names := r.explainedExecution(req, rt, rep.Revision, find)
 	rep.Route = reportRoute(rt, e)
