--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -12,13 +12,13 @@
 	"crocuswing/internal/soak/record"
 	"crocuswing/internal/soak/site"
 	"crocuswing/internal/standin/replica"
-	"crocuswing/internal/standin/tenant"
+	"crocuswing/internal/standin/workspace"
 
 	"github.com/stretchr/testify/require"
 )
 
 var (
-	headers = replica.HeaderNames{Proof: "Seal", Proofs: "Proofs", Missing: "Missing", Tenant: "Workspace"}
+	headers = replica.HeaderNames{Proof: "Seal", Proofs: "Proofs", Missing: "Missing", Workspace: "Workspace"}
 	noon    = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
 )
 
@@ -29,7 +29,7 @@
 
 // version returns a configuration that was acknowledged at second acked, with one order service and the given shards.
 func version(revision int64, acked float64, orders string, shards ...string) record.Version {
-	return record.Version{Revision: revision, Sent: at(acked), Acked: at(acked), Tenants: []tenant.Tenant{{Name: "w", Keys: []string{testKey}, Rate: 1}}, Routes: []route.Route{
+	return record.Version{Revision: revision, Sent: at(acked), Acked: at(acked), Workspaces: []workspace.Workspace{{Name: "w", Keys: []string{testKey}, Rate: 1}}, Routes: []route.Route{
 		{Prefix: site.SearchPath, Shards: shards, TopK: 3, MinShare: 0.5, MaxAttempts: 2},
 		{Prefix: site.OrderPath, NonIdempotent: true, MaxAttempts: 2, Destinations: []route.Destination{{Service: orders, Weight: 1}}},
 	}}
@@ -138,7 +138,7 @@
 		{"key passed on", "no upstream gets a key", func(s *record.Snapshot) { s.Settled[0].Arrivals[0].Header.Set("Other", "Bearer "+testKey) }},
 		{"other workspace", "an upstream gets the workspace of the key", func(s *record.Snapshot) { s.Settled[0].Arrivals[0].Header.Set("Workspace", "x") }},
 		{"unknown key", "a key that no configuration held runs nothing", func(s *record.Snapshot) { s.Settled[0].Key = "unknown" }},
-		{"withdrawn key", "a withdrawn key runs nothing after its time", func(s *record.Snapshot) { s.Versions[1].Tenants = nil }},
+		{"withdrawn key", "a withdrawn key runs nothing after its time", func(s *record.Snapshot) { s.Versions[1].Workspaces = nil }},
 		{"above the quota", "a workspace stays within its quota", func(s *record.Snapshot) {
 			for range 30 {
 				s.Settled = append(s.Settled, search("s3", "0", "a", "b"))
--- a/internal/soak/checker/workspace.go
+++ b/internal/soak/checker/workspace.go
@@ -13,7 +13,7 @@
 
 // holder returns the workspace that holds a key in a version.
 func holder(v record.Version, key string) (string, bool) {
-	for _, t := range v.Tenants {
+	for _, t := range v.Workspaces {
 		if slices.Contains(t.Keys, key) {
 			return t.Name, true
 		}
@@ -40,7 +40,7 @@
 		}
 		if !ok {
 			c.report("a key that no configuration held runs nothing", q.ID, fmt.Sprintf("key %q reached %s", q.Key, a.Upstream))
-		} else if got := a.Header.Values(c.headers.Tenant); !slices.Equal(got, []string{name}) {
+		} else if got := a.Header.Values(c.headers.Workspace); !slices.Equal(got, []string{name}) {
 			c.report("an upstream gets the workspace of the key", q.ID, fmt.Sprintf("%s received %q, want %q", a.Upstream, got, name))
 		}
 	}
@@ -88,7 +88,7 @@
 		}
 	}
 	b := site.Bounds
-	for _, t := range c.Versions[0].Tenants { // quotas are the same in all versions
+	for _, t := range c.Versions[0].Workspaces { // quotas are the same in all versions
 		limit := (t.Rate*b.QuotaWindow.Seconds()+t.Burst)*(1+b.QuotaOverage) + b.QuotaSlack
 		for _, end := range runs[t.Name] {
 			if n := countBetween(runs[t.Name], end.Add(-b.QuotaWindow), end); t.Rate > 0 && float64(n) > limit {
--- a/internal/soak/record/record.go
+++ b/internal/soak/record/record.go
@@ -10,7 +10,7 @@
 
 	"crocuswing/internal/routing/route"
 	"crocuswing/internal/standin/replica"
-	"crocuswing/internal/standin/tenant"
+	"crocuswing/internal/standin/workspace"
 )
 
 // Request is one request of a caller.
@@ -49,7 +49,7 @@
 	Revision    int64
 	Sent, Acked time.Time
 	Routes      []route.Route
-	Tenants     []tenant.Tenant
+	Workspaces  []workspace.Workspace
 }
 
 // Span is a period of time during which a state lasted. Until is zero while it still lasts.
--- a/internal/soak/site/site.go
+++ b/internal/soak/site/site.go
@@ -22,7 +22,7 @@
 	"crocuswing/internal/settings/deployment"
 	"crocuswing/internal/soak/record"
 	"crocuswing/internal/standin/replica"
-	"crocuswing/internal/standin/tenant"
+	"crocuswing/internal/standin/workspace"
 )
 
 // Host is the host name of all routes.
@@ -79,7 +79,7 @@
 	http.Handler
 	Register(r registration.Registration)
 	Unregister(upstream string)
-	Configure(revision int64, routes []route.Route, services []service.Service, tenants []tenant.Tenant, l limits.Limits)
+	Configure(revision int64, routes []route.Route, services []service.Service, workspaces []workspace.Workspace, l limits.Limits)
 	SetDomainExcluded(domain string, excluded bool)
 	Compact()
 	// Checkpoint copies the store and returns a function that makes it come back from the copy.
@@ -203,10 +203,10 @@
 		}
 	}
 	s.revision += 1 + s.random.Int64N(4)
-	routes, tenants := s.routes(), s.tenants()
-	v := record.Version{Revision: s.revision, Sent: time.Now(), Routes: routes, Tenants: tenants}
+	routes, workspaces := s.routes(), s.workspaces()
+	v := record.Version{Revision: s.revision, Sent: time.Now(), Routes: routes, Workspaces: workspaces}
 	s.SetVersion(v)
-	s.Configure(s.revision, routes, s.serviceConfigs(), tenants, limits.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 256 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second})
+	s.Configure(s.revision, routes, s.serviceConfigs(), workspaces, limits.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 256 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second})
 	v.Acked = time.Now()
 	s.SetVersion(v)
 }
--- a/internal/soak/site/tenant.go
+++ b/internal/soak/site/workspace.go
@@ -4,18 +4,18 @@
 	"fmt"
 	"math/rand/v2"
 
-	"crocuswing/internal/standin/tenant"
+	"crocuswing/internal/standin/workspace"
 )
 
 // KeyPrefix is the beginning of all keys that callers send.
 const KeyPrefix = "soak-key-"
 
 // quotas are the workspaces without their keys. At the usual rate of requests, callers exceed the quota of the last one.
-var quotas = []tenant.Tenant{{Name: "unlimited"}, {Name: "large", Rate: 60, Burst: 60}, {Name: "small", Rate: 8, Burst: 8}}
+var quotas = []workspace.Workspace{{Name: "unlimited"}, {Name: "large", Rate: 60, Burst: 60}, {Name: "small", Rate: 8, Burst: 8}}
 
-// tenants returns the workspaces of the newest configuration. Each has two keys, so that a change of keys leaves one in use.
-func (s *Site) tenants() []tenant.Tenant {
-	all := append([]tenant.Tenant(nil), quotas...)
+// workspaces returns the workspaces of the newest configuration. Each has two keys, so that a change of keys leaves one in use.
+func (s *Site) workspaces() []workspace.Workspace {
+	all := append([]workspace.Workspace(nil), quotas...)
 	for i := range all {
 		all[i].Keys = []string{key(all[i].Name, s.keyGeneration), key(all[i].Name, s.keyGeneration+1)}
 	}
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -29,8 +29,8 @@
 	Proofs, Missing string
 	// Leaving is a header of all responses of a replica that is leaving.
 	Leaving string
-	// Tenant is the header with the name of the caller's workspace.
-	Tenant string
+	// Workspace is the header with the name of the caller's workspace.
+	Workspace string
 }
 
 // Arrival describes a request that reached an upstream.
