--- a/internal/forward/runner/delegation.go
+++ b/internal/forward/runner/delegation.go
@@ -21,8 +21,8 @@
 // themselves, also if these are small.
 const minDelegatedShards = 2
 
-// minAggregatorConnections is the number of connections to each upstream from which an instance can take the requests of others as well.
-// With a single one, they would wait for each other. All instances have the same share.
+// minAggregatorConnections is the number of connections to each upstream from which instances gather distant shards for each other. With
+// a single one, the requests of several instances would wait for each other.
 const minAggregatorConnections = 2
 
 // Aggregators selects instances that gather parts and asks them.
@@ -50,7 +50,7 @@
 	isAccepted bool           // the aggregator has replied to a call with the grant
 	late       aggregator.Set // the shards that are late at the aggregator
 	instance   membership.Member
-	call       uint64 // tells this call to the instance from others with the same identifier of the request
+	call       uint64 // distinguishes this call from others for requests with the same identifier
 	members    []*subrequest
 	cancelCall context.CancelFunc
 	start      time.Time
--- a/internal/published/follower/follower.go
+++ b/internal/published/follower/follower.go
@@ -235,7 +235,7 @@
 	}
 	switch {
 	case isOutage:
-		f.state.StoreRecovered(now)
+		f.state.StartGracePeriod(now)
 		f.beginGracePeriod(now)
 	case f.failures > 0:
 		f.expiry.Reset(f.graceUntil.Sub(now)) // it may have ended meanwhile
@@ -255,7 +255,7 @@
 	f.log.Warn("store came back from an older copy", zap.Int64("era", b.Era), zap.Int64("revision", b.Revision), zap.Int64("former-era", known.Era),
 		zap.Int64("former-revision", known.Revision), zap.Bool("relayed", b.Relayed), zap.Int("items", len(b.Changes)))
 	f.count("crocuswing_store_eras_total")
-	f.state.BeginEra(now)
+	f.state.StartGracePeriod(now)
 	f.beginGracePeriod(now)
 }
 
--- a/internal/published/state/era_test.go
+++ b/internal/published/state/era_test.go
@@ -58,7 +58,7 @@
 func (h *eraHistory) apply(b change.Batch) {
 	before := h.state.View()
 	if b.Era > before.Era {
-		h.state.BeginEra(h.now)
+		h.state.StartGracePeriod(h.now)
 	}
 	v, _ := h.state.Apply(b, h.now)
 	require.GreaterOrEqual(h, v.Compare(before.Position), 0)
--- a/internal/published/state/state.go
+++ b/internal/published/state/state.go
@@ -29,7 +29,7 @@
 	Changed []string
 }
 
-// State keeps the newest version of all published items. Apply, StoreRecovered and RemoveExpired must not be called concurrently;
+// State keeps the newest version of all published items. Apply, StartGracePeriod and RemoveExpired must not be called concurrently;
 // the other methods are safe for concurrent use.
 type State struct {
 	// gracePeriod is how long upstreams may take to register again after an outage of the store.
@@ -95,13 +95,9 @@
 	return s.view
 }
 
-// StoreRecovered records that the store answers again after an outage. Upstreams that it does not list are kept for the grace
-// period, because they may be about to register again.
-func (s *State) StoreRecovered(now time.Time) { s.graceUntil = now.Add(s.gracePeriod) }
-
-// BeginEra records that the next batch is a listing of a later era: the store has come back from an older copy of itself. What the copy
-// lacks, upstreams and excluded domains, is kept for the grace period, because it may be about to be written again.
-func (s *State) BeginEra(now time.Time) { s.graceUntil = now.Add(s.gracePeriod) }
+// StartGracePeriod keeps for the grace period what the store does not list, because it may be about to be written again. It is called when
+// the store answers again after an outage, and before a listing of a later era: the store has come back from an older copy of itself.
+func (s *State) StartGracePeriod(now time.Time) { s.graceUntil = now.Add(s.gracePeriod) }
 
 // Apply merges a batch of changes and returns the resulting view and the rejected changes. A batch of an earlier era, and one of a later era
 // that is no listing, is ignored. The listing of a later era replaces what is known only by what is newer in itself: the store may have come
--- a/internal/settings/deployment/deployment.go
+++ b/internal/settings/deployment/deployment.go
@@ -118,7 +118,7 @@
 			return &Error{Key: a.key, Reason: reason}
 		}
 	}
-	if err := s.checkMachine(); err != nil {
+	if err := s.checkCapacity(); err != nil {
 		return err
 	}
 	if s.CrossingPrice < 0 || s.CrossingPrice > MaxCrossingPrice {
@@ -127,8 +127,8 @@
 	return s.check()
 }
 
-// checkMachine checks the limits of the machine.
-func (s Settings) checkMachine() error {
+// checkCapacity checks what the instance may use.
+func (s Settings) checkCapacity() error {
 	if s.MemoryBytes < 0 || s.MemoryBytes > MaxMemoryBytes {
 		return &Error{Key: "memory", Reason: fmt.Sprintf("is %d bytes, want 0 to %d", s.MemoryBytes, int64(MaxMemoryBytes))}
 	}
