--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -15,6 +15,7 @@
 	"crocuswing/internal/command/experiment"
 	"crocuswing/internal/command/explain"
 	"crocuswing/internal/command/load"
+	"crocuswing/internal/command/route"
 	"crocuswing/internal/command/serve"
 	"crocuswing/internal/command/soak"
 	"crocuswing/internal/command/standin"
@@ -43,6 +44,7 @@
 		check.New(stdout, stderr),
 		status.New(stdout, stderr),
 		explain.New(os.Stdin, stdout, stderr),
+		route.New(stdout, stderr),
 		demo.New(stdout, stderr),
 		experiment.New(stdout, stderr),
 		load.New(stdout, stderr),
--- a/internal/command/root/root_test.go
+++ b/internal/command/root/root_test.go
@@ -54,6 +54,8 @@
 		{"check bad preset", []string{"check", write(t, strings.Replace(configuration, `"ordinary"}`, `"peak"}`, 1))}, 1, "", `names preset "peak", which does not exist`},
 		{"check bad share", []string{"check", write(t, strings.Replace(configuration, "0.05", "5", 1))}, 1, "", "hedge-share is 5, want 0 to 1"},
 		{"status host name", []string{"status", "-addr", "localhost:1"}, 2, "", "want -addr IP:PORT"},
+		{"route host name", []string{"route", "-addr", "localhost:1", "-host", "h", "-path", "/"}, 2, "", "want -addr IP:PORT"},
+		{"route without path", []string{"route", "-addr", "127.0.0.1:1", "-host", "h"}, 2, "", "-path with a leading slash"},
 		{"explain nothing", []string{"explain"}, 2, "", "identifier of the request is missing"},
 		{"explain unknown request", []string{"explain", "q", write(t, "{}")}, 1, "", `no log line of request "q" was found`},
 		{"explain missing file", []string{"explain", "q", "absent.log"}, 1, "", "absent.log"},
--- a/internal/forward/runner/execution.go
+++ b/internal/forward/runner/execution.go
@@ -13,12 +13,16 @@
 	"crocuswing/internal/forward/request"
 	"crocuswing/internal/forward/timing"
 	"crocuswing/internal/routing/route"
+	"crocuswing/internal/upstream/cluster"
 )
 
 // recheckInterval is how long a subrequest waits before it looks again for an upstream that accepts it. It is a fraction of
 // a typical service time.
 const recheckInterval = 10 * time.Millisecond
 
+// reasonFull is the reason of the refusal of a request for which the limiter has no room.
+const reasonFull = "this instance has begun as much as it may"
+
 // maxHoldDivisor limits how long a request is held for upstreams that requested a pause: to this part of the time until its objective.
 const maxHoldDivisor = 4
 
@@ -44,21 +48,32 @@
 }
 
 func newExecution(r *Runner, req request.Request, rt *route.Route, revision int64) *execution {
-	e := &execution{Runner: r, request: req, route: rt, revision: revision, plan: r.planner.Plan(req, rt)}
+	services := rt.Shards
+	if !rt.IsGather() {
+		services = []string{r.splitter.Next(rt)}
+	}
+	clusters := make([]*cluster.Cluster, len(services))
+	for i, s := range services {
+		clusters[i] = r.clusters.Cluster(s)
+	}
+	return newExecutionOn(r, req, rt, revision, r.planner.Plan(req, rt), clusters)
+}
+
+// newExecutionOn returns an execution with the given plan that sends one subrequest to each cluster. It changes nothing in the runner.
+func newExecutionOn(r *Runner, req request.Request, rt *route.Route, revision int64, plan timing.Plan, clusters []*cluster.Cluster) *execution {
+	e := &execution{Runner: r, request: req, route: rt, revision: revision, plan: plan, required: 1}
 	if end := r.end.Load(); end != nil {
 		e.isCutShort = end.Before(e.plan.ReplyDeadline)
 		e.plan = e.plan.WithEnd(*end)
 	}
-	services, required := rt.Shards, rt.MinParts()
-	if !rt.IsGather() {
-		services, required = []string{r.splitter.Next(rt)}, 1
+	if rt.IsGather() {
+		e.required = rt.MinParts()
 	}
-	e.required = required
-	e.subrequests = make([]*subrequest, len(services))
-	for i, s := range services {
-		e.subrequests[i] = &subrequest{execution: e, index: i, cluster: r.clusters.Cluster(s)}
+	e.subrequests = make([]*subrequest, len(clusters))
+	for i, c := range clusters {
+		e.subrequests[i] = &subrequest{execution: e, index: i, cluster: c}
 	}
-	e.results = make(chan result, len(services))
+	e.results = make(chan result, len(clusters))
 	e.delegationResults = make(chan delegationResult, 1)
 	e.done = make(chan struct{})
 	return e
@@ -66,17 +81,11 @@
 
 func (e *execution) run(ctx context.Context) reply.Reply {
 	now := time.Now()
-	if !now.Before(e.plan.ReplyDeadline) {
-		return refused("no time is left")
-	}
-	if e.isCutShort && e.route.NonIdempotent {
-		return refused("this instance stops before the time of the request is over")
-	}
-	if available, wait := e.available(now); available < e.required {
-		return refusedFor(fmt.Sprintf("%d of %d services have an upstream that may take work", available, len(e.subrequests)), wait)
+	if rep, isRefused := e.refusal(now); isRefused {
+		return rep
 	}
 	if !e.limiter.Acquire(len(e.subrequests), e.route.Rank) {
-		return refused("this instance has begun as much as it may")
+		return refused(reasonFull)
 	}
 	defer e.limiter.Release(len(e.subrequests))
 	defer e.close()
@@ -95,6 +104,20 @@
 	return rep
 }
 
+// refusal returns the reply to a request that is refused at its arrival, and false if it may begin. It changes nothing.
+func (e *execution) refusal(now time.Time) (reply.Reply, bool) {
+	if !now.Before(e.plan.ReplyDeadline) {
+		return refused("no time is left"), true
+	}
+	if e.isCutShort && e.route.NonIdempotent {
+		return refused("this instance stops before the time of the request is over"), true
+	}
+	if available, wait := e.available(now); available < e.required {
+		return refusedFor(fmt.Sprintf("%d of %d services have an upstream that may take work", available, len(e.subrequests)), wait), true
+	}
+	return reply.Reply{}, false
+}
+
 // begin sends the first attempts, except on the shards that are delegated.
 func (e *execution) begin(now time.Time) {
 	for _, s := range e.subrequests {
--- a/internal/forward/runner/handler.go
+++ b/internal/forward/runner/handler.go
@@ -10,6 +10,7 @@
 	"crocuswing/internal/forward/reply"
 	"crocuswing/internal/forward/request"
 	"crocuswing/internal/published/state"
+	"crocuswing/internal/routing/route"
 
 	"go.uber.org/zap"
 )
@@ -24,21 +25,30 @@
 }
 
 func (h *handler) run(ctx context.Context) reply.Reply {
+	rt, rep, ok := h.lookup()
+	if !ok {
+		return rep
+	}
+	if err := h.request.Load(); err != nil {
+		return rejected(err)
+	}
+	h.execution = newExecution(h.Runner, h.request, rt, h.view.Table.Revision())
+	return h.execution.run(ctx)
+}
+
+// lookup returns the route of the request, or the reply to a request without one.
+func (h *handler) lookup() (*route.Route, reply.Reply, bool) {
 	if h.view.Table == nil {
-		return reply.Refused("no configuration is known yet", h.untilConfigured())
+		return nil, reply.Refused("no configuration is known yet", h.untilConfigured()), false
 	}
 	rt, ok := h.view.Table.Lookup(h.request.Host, h.request.Path)
 	switch {
 	case ok:
-		if err := h.request.Load(); err != nil {
-			return rejected(err)
-		}
-		h.execution = newExecution(h.Runner, h.request, rt, h.view.Table.Revision())
-		return h.execution.run(ctx)
+		return rt, reply.Reply{}, true
 	case h.viewAge > staleViewAge:
-		return refused("no route in a view that may be old")
+		return nil, refused("no route in a view that may be old"), false
 	}
-	return reply.Failed(http.StatusNotFound, "no route")
+	return nil, reply.Failed(http.StatusNotFound, "no route"), false
 }
 
 // rejected returns the reply to a request whose body cannot be read.
--- a/internal/forward/runner/subrequest.go
+++ b/internal/forward/runner/subrequest.go
@@ -84,10 +84,10 @@
 	}
 }
 
-// timing returns the hedge delay, the extra latencies and the time left of the request, with which the cluster compares its replicas.
-func (s *subrequest) timing() cluster.Timing {
+// timing returns the hedge delay, the extra latencies and the time left of the request, with which a cluster compares its replicas.
+func (e *execution) timing() cluster.Timing {
 	return cluster.Timing{
-		HedgeDelay: s.plan.HedgeDelay(balancer.SameDomain), ExtraLatency: s.plan.ExtraLatency, Objective: max(0, time.Until(s.plan.Objective)),
+		HedgeDelay: e.plan.HedgeDelay(balancer.SameDomain), ExtraLatency: e.plan.ExtraLatency, Objective: max(0, time.Until(e.plan.Objective)),
 	}
 }
 
--- a/internal/forward/timing/timing.go
+++ b/internal/forward/timing/timing.go
@@ -85,6 +85,22 @@
 		spent = 0
 	}
 	p.mu.Unlock()
+	return l.plan(req, r, spent)
+}
+
+// Peek returns the plan for a request whose caller states no timeout, like Plan but without recording the request.
+func (p *Planner) Peek(req request.Request, r *route.Route) Plan {
+	p.mu.Lock()
+	l := p.routes[r.Name]
+	p.mu.Unlock()
+	if l == nil {
+		l = &routeLatency{}
+	}
+	return l.plan(req, r, 0)
+}
+
+// plan returns the plan for a request of which the caller has already spent some time.
+func (l *routeLatency) plan(req request.Request, r *route.Route, spent time.Duration) Plan {
 	timeout := defaultTimeout
 	for _, d := range []time.Duration{req.Timeout, r.Timeout} {
 		if d > 0 {
--- a/internal/policy/limiter/limiter.go
+++ b/internal/policy/limiter/limiter.go
@@ -43,14 +43,25 @@
 func (l *Limiter) Acquire(units, rank int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	share := max(minShare, 1-rankShare*float64(max(0, rank)))
-	if l.limit > 0 && l.used > 0 && float64(l.used+units) > share*float64(l.limit) {
+	if !l.fits(units, rank) {
 		return false
 	}
 	l.used += units
 	return true
 }
 
+// Fits reports whether Acquire would accept the units of work now.
+func (l *Limiter) Fits(units, rank int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fits(units, rank)
+}
+
+func (l *Limiter) fits(units, rank int) bool {
+	share := max(minShare, 1-rankShare*float64(max(0, rank)))
+	return l.limit <= 0 || l.used <= 0 || float64(l.used+units) <= share*float64(l.limit)
+}
+
 // Release returns units of work that Acquire added.
 func (l *Limiter) Release(units int) {
 	l.mu.Lock()
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,7 @@
 	"crocuswing/internal/forward/runner"
 	"crocuswing/internal/network/socket"
 	"crocuswing/internal/operator/metric"
+	"crocuswing/internal/operator/routereport"
 	"crocuswing/internal/peer/server"
 	"crocuswing/internal/policy/limiter"
 	"crocuswing/internal/published/follower"
@@ -72,6 +74,9 @@
 	ports       Ports
 	stopping    atomic.Bool
 	revision    atomic.Int64
+	routeMu     sync.Mutex // held while a route is explained
+	// gatherers returns the names of the instances of this region that gather for the others; nil if there are none.
+	gatherers func() []string
 }
 
 // Ports holds the parts of an instance that depend on the platform.
@@ -278,6 +283,7 @@
 func (g *Gateway) metricsHandler(path string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) { g.metrics.Write(w) })
+	mux.HandleFunc("GET "+routereport.Path, g.serveRoute)
 	return mux
 }
 
--- a/internal/upstream/catalog/locality.go
+++ b/internal/upstream/catalog/find.go
@@ -17,3 +17,11 @@
 	}
 	return clusters
 }
+
+// Find returns the cluster of a service. Unlike Cluster it creates none.
+func (c *Catalog) Find(service string) (*cluster.Cluster, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	found, ok := c.clusters[service]
+	return found, ok
+}
--- a/internal/upstream/cluster/pick.go
+++ b/internal/upstream/cluster/pick.go
@@ -76,7 +76,7 @@
 // collect fills ch with the replicas that may receive the request. It changes nothing in the cluster.
 func (c *Cluster) collect(ch *choice, rt *route.Route, attempted []string, timing Timing, now time.Time) {
 	ch.candidates, ch.replicas = ch.candidateBuf[:0], ch.replicaBuf[:0]
-	ch.suspectAfter = time.Duration(stuckFraction * float64(timing.HedgeDelay))
+	ch.suspectAfter = stuckAfter(timing)
 	for _, r := range c.replicas {
 		if c.exclusion(r, rt, now) != "" || slices.Contains(attempted, r.Name()) {
 			continue
@@ -88,6 +88,11 @@
 	ch.shares, ch.hasShares = c.nextShares(timing, now)
 }
 
+// stuckAfter returns the duration that is passed to the balancer as the tail latency.
+func stuckAfter(timing Timing) time.Duration {
+	return time.Duration(stuckFraction * float64(timing.HedgeDelay))
+}
+
 // pick returns the index of the replica for an attempt that is not a probe. A first attempt goes to the failure domain that the shares
 // give, unless its replicas cannot take it at once.
 func (ch *choice) pick(p balancer.Purpose, intn func(int) int) (int, bool) {
