feat(forward): the log names the connection of each attempt, and responses that belong to another request

Connections have a number, unique in the process, which the attempts of a log line and a failure state. A forwarded response with another identifier is "crossed", is logged with both identifiers, and counts in crocuswing_upstream_crossed_responses_total.

--- a/internal/forward/runner/attempt.go
+++ b/internal/forward/runner/attempt.go
@@ -23,6 +23,8 @@
 	notRun   bool // certainly not run
 	outcome  string
 	took     time.Duration
+	// connection is the number of the connection on which the attempt ended; 0 if it has not ended or got none.
+	connection uint64
 }
 
 func (a *attempt) mayHaveRun() bool {
@@ -131,6 +133,9 @@
 		if outcome == "" {
 			outcome, a.took = "open", time.Since(a.start)
 		}
+		if a.connection > 0 {
+			outcome = fmt.Sprintf("%s on %d", outcome, a.connection)
+		}
 		fmt.Fprintf(b, "%s=%s/%dms ", a.replica.Name(), outcome, a.took.Milliseconds())
 	}
 	if s.overBudget {
--- a/internal/forward/runner/outcome.go
+++ b/internal/forward/runner/outcome.go
@@ -12,11 +12,11 @@
 // handleResult records the outcome of an attempt and decides how the subrequest continues.
 func (s *subrequest) handleResult(res result, now time.Time) {
 	a := s.attempts[res.attempt]
-	a.hasEnded, a.took = true, now.Sub(a.start)
+	a.hasEnded, a.took, a.connection = true, now.Sub(a.start), res.response.Connection
 	var f *failure.Failure
 	switch {
 	case errors.As(res.err, &f):
-		a.outcome, a.notRun = f.Kind, f.NotRun
+		a.outcome, a.notRun, a.connection = f.Kind, f.NotRun, f.Connection
 	case res.err != nil:
 		a.outcome = res.err.Error()
 	case res.signals.NotRun || res.signals.IsMisdirected:
--- a/internal/forward/runner/sender.go
+++ b/internal/forward/runner/sender.go
@@ -83,7 +83,7 @@
 	m.Add(r.Body)
 	records := m.Bytes()
 	r.Free()
-	*r = connection.Response{Status: r.Status, Header: r.Header, Body: records, Close: r.Close}
+	*r = connection.Response{Status: r.Status, Header: r.Header, Body: records, Close: r.Close, Connection: r.Connection}
 }
 
 // record records the outcome of the attempt in the history, the cluster and the planner.
@@ -97,6 +97,11 @@
 		s.meter.Count("crocuswing_upstream_oversized_responses_total")
 		s.log.Warn("response of an upstream exceeds a limit", zap.String("upstream", name), zap.String("request-id", s.request.ID), zap.Error(limit))
 	}
+	if f != nil && f.Kind == failure.KindCrossed {
+		s.meter.Count("crocuswing_upstream_crossed_responses_total")
+		s.log.Warn("response of an upstream belongs to another request", zap.String("upstream", name), zap.String("request-id", s.request.ID),
+			zap.Uint64("connection", f.Connection), zap.Error(f.Err))
+	}
 	switch {
 	case f != nil && (f.Kind == failure.KindCanceled || f.Kind == failure.KindTimeout):
 		s.history.Canceled(name, s.start, now, s.hedgeDelay)
--- a/internal/operator/explanation/explanation.go
+++ b/internal/operator/explanation/explanation.go
@@ -124,7 +124,7 @@
 
 var (
 	delegation = regexp.MustCompile(`^via ([^: ]+):(.*)/(\d+)ms$`)
-	attempt    = regexp.MustCompile(`^([^= ]+)=(.+)/(\d+)ms$`)
+	attempt    = regexp.MustCompile(`^([^= ]+)=(.+?)(?: on (\d+))?/(\d+)ms$`)
 	omitted    = regexp.MustCompile(`^\((\d+) more\) `)
 	// separator matches the space between two entries, which begin with "via", with a service or with an upstream.
 	separator = regexp.MustCompile(`ms (?:denied )? ?`)
@@ -198,5 +198,8 @@
 	default:
 		words = m[2]
 	}
-	fmt.Fprintf(b, "    upstream %s %s (%s ms)\n", m[1], words, m[3])
+	if m[3] != "" {
+		words += ", on connection " + m[3]
+	}
+	fmt.Fprintf(b, "    upstream %s %s (%s ms)\n", m[1], words, m[4])
 }
--- a/internal/operator/explanation/explanation_test.go
+++ b/internal/operator/explanation/explanation_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-const lines = `  10.2 front-a-1 {"ts":"2026-12-05T10:00:00.090Z","msg":"request","instance":"a-1","request-id":"q1","status":200,"took":0.076,"view-age":0.6,"route":"r","revision":9,"missing":1,"time-left":1.2,"attempts":"via b-1:8 of 9/22ms via b-2:silent open/75ms s1:u-1=open/75ms u-2=refused 503/22ms  s2:(2 more) u-3=ok/13ms denied  s3:delegated denied  "}
+const lines = `  10.2 front-a-1 {"ts":"2026-12-05T10:00:00.090Z","msg":"request","instance":"a-1","request-id":"q1","status":200,"took":0.076,"view-age":0.6,"route":"r","revision":9,"missing":1,"time-left":1.2,"attempts":"via b-1:8 of 9/22ms via b-2:silent open/75ms s1:u-1=open/75ms u-2=refused 503 on 41/22ms  s2:(2 more) u-3=ok/13ms denied  s3:delegated denied  "}
 {"ts":"2026-12-05T10:00:00.040Z","msg":"aggregate","instance":"b-1","request-id":"q1","shards":9,"answered":8,"late":1,"took":0.02,"attempts":"s3:u-9=open/20ms  "}
 {"ts":"2026-12-05T10:00:00.095Z","msg":"request","instance":"a-1","request-id":"q2","status":503}
 not a log line q1
@@ -34,7 +34,7 @@
 	//   aggregator b-2 was silent and given up (75 ms)
 	//   service s1:
 	//     upstream u-1 had not answered when the request ended (75 ms)
-	//     upstream u-2 refused with status 503 and did not run it (22 ms)
+	//     upstream u-2 refused with status 503 and did not run it, on connection 41 (22 ms)
 	//   service s2:
 	//     2 earlier attempts are not listed
 	//     upstream u-3 answered (13 ms)
--- a/internal/upstream/connection/connection.go
+++ b/internal/upstream/connection/connection.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"crocuswing/internal/policy/limiter"
 )
@@ -48,6 +49,7 @@
 
 // Connection is a connection to one upstream that carries one request at a time.
 type Connection struct {
+	number   uint64
 	stream   *stream
 	memory   *limiter.Limiter // of all bodies beyond smallBodyBytes, in KiB
 	requests int              // requests begun so far
@@ -57,6 +59,9 @@
 	readEnded bool // the read goroutine has stopped
 }
 
+// lastNumber is the number of the connection that was created last in this process.
+var lastNumber atomic.Uint64
+
 // pending is the request that awaits its response.
 type pending struct {
 	request *http.Request
@@ -97,6 +102,8 @@
 	Body   []byte
 	// Close reports whether the upstream closes the connection after this response.
 	Close bool
+	// Connection is the number of the connection on which the response arrived.
+	Connection uint64
 
 	free func() // returns the memory of a large body to the limit; nil if it is small
 }
@@ -127,7 +134,7 @@
 // against the upstream's limit: the upstream has closed its end, or LingerTimeout has passed since Close. It may be called before
 // New returns. onLost is called as soon as the upstream closes the connection first, whether it is in use or idle.
 func New(raw net.Conn, onReleased func(*Connection), onLost func(), options ...Option) *Connection {
-	c := &Connection{memory: limiter.New(0)}
+	c := &Connection{number: lastNumber.Add(1), memory: limiter.New(0)}
 	for _, o := range options {
 		o(c)
 	}
@@ -136,6 +143,9 @@
 	return c
 }
 
+// Number returns the number of the connection, which no other connection of this process has.
+func (c *Connection) Number() uint64 { return c.number }
+
 // BeginRequest marks the start of a request, from which StopWriting and BytesReceived count. It reports whether the
 // connection has carried an earlier request.
 func (c *Connection) BeginRequest() (reused bool) {
--- a/internal/upstream/connection/response.go
+++ b/internal/upstream/connection/response.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return result{err: err}
 	}
-	got := Response{Status: resp.StatusCode, Header: resp.Header, Close: resp.Close}
+	got := Response{Status: resp.StatusCode, Header: resp.Header, Close: resp.Close, Connection: c.number}
 	body := bodyReader{memory: c.memory}
 	got.Body, err = body.read(resp, req.Method)
 	if err == nil {
--- a/internal/upstream/failure/failure.go
+++ b/internal/upstream/failure/failure.go
@@ -35,6 +35,8 @@
 	NotRun bool
 	// RetryAfter is the wait that the upstream requested; 0 if none.
 	RetryAfter time.Duration
+	// Connection is the number of the connection on which the attempt failed; 0 if it got none.
+	Connection uint64
 	Err        error
 }
 
--- a/internal/upstream/link/exchange.go
+++ b/internal/upstream/link/exchange.go
@@ -105,10 +105,10 @@
 		return sig, x.statusFailure(got, sig)
 	}
 	if err := json.Unmarshal(got.Body, x.reply); err != nil {
-		return sig, x.mismatch(err)
+		return sig, x.unusable(err)
 	}
 	if err := x.check(); err != nil {
-		return sig, x.mismatch(err)
+		return sig, x.unusable(err)
 	}
 	x.release(true, true)
 	return sig, nil
@@ -141,16 +141,26 @@
 	return x.newFailure(failure.KindReset, false, err)
 }
 
-// mismatch closes a connection that delivered a wrong response and returns the failure.
+// unusable closes a connection that delivered a malformed response, or one that belongs to another request, and returns the failure.
+func (x *exchange) unusable(err error) error {
+	var mismatch *part.MismatchError
+	if errors.As(err, &mismatch) {
+		return x.mismatch(err)
+	}
+	x.release(true, false)
+	return x.newFailure(failure.KindIncomplete, false, err)
+}
+
+// mismatch closes a connection that delivered the response to another request and returns the failure.
 func (x *exchange) mismatch(err error) error {
 	x.release(true, false)
-	kind := failure.KindIncomplete
-	var wrong *part.MismatchError
-	if errors.As(err, &wrong) {
-		kind = failure.KindCrossed
-		x.crossed.Add(1)
-	}
-	return x.newFailure(kind, false, err)
+	x.crossed.Add(1)
+	return x.newFailure(failure.KindCrossed, false, err)
+}
+
+// newFailure returns the failure of an attempt on the connection.
+func (x *exchange) newFailure(kind string, notRun bool, err error) error {
+	return &failure.Failure{Upstream: x.name, Kind: kind, NotRun: notRun, Connection: x.conn.Number(), Err: err}
 }
 
 func checkRequestID(want, got string) error {
--- a/internal/upstream/link/forward_test.go
+++ b/internal/upstream/link/forward_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"crocuswing/internal/upstream/failure"
+	"crocuswing/internal/wire/header"
 
 	"github.com/stretchr/testify/require"
 )
@@ -164,3 +165,23 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// TestForwardCrossed checks that the response to another request fails the attempt, that the failure names the connection, and that the
+// connection is closed.
+func TestForwardCrossed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 8, 4, respond("other", "whole"))
+		defer r.stop()
+		req := newRequest(http.MethodGet, "")
+		req.CheckResponse = func(_ int, h http.Header) error { return checkRequestID("1", h.Get(header.RequestID)) }
+		_, err := r.Forward(t.Context(), req)
+		var f *failure.Failure
+		require.ErrorAs(t, err, &f)
+		require.Equal(t, failure.KindCrossed, f.Kind)
+		require.False(t, f.NotRun)
+		require.Positive(t, f.Connection)
+		require.EqualValues(t, 1, r.Stats().Crossed)
+		synctest.Wait()
+		require.Zero(t, r.listener.OpenConns())
+	})
+}
--- a/internal/upstream/link/link.go
+++ b/internal/upstream/link/link.go
@@ -186,6 +186,7 @@
 		Kind:       failure.KindStatus,
 		NotRun:     got.Header.Get(header.NotRun) == "true",
 		RetryAfter: sig.RetryAfter,
+		Connection: got.Connection,
 		Err:        errors.New(http.StatusText(got.Status)),
 	}
 	if sig.Shed {
