--- a/internal/experiment/testbed/testbed.go
+++ b/internal/experiment/testbed/testbed.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -109,7 +110,11 @@
 	t.Servers = append(t.Servers, server)
 	l := t.Net.Listen(id+":1", MaxConnections)
 	t.Listeners = append(t.Listeners, l)
-	go func() { _ = server.Serve(l) }() // returns after Stop
+	var served net.Listener = l
+	if topo.WrapListener != nil {
+		served = topo.WrapListener(l)
+	}
+	go func() { _ = server.Serve(served) }() // returns after Stop
 	v.Upstreams[id] = registration.Registration{Upstream: id, Service: name, Address: id + ":1", FailureDomain: domain, Slots: topo.Slots, Cold: topo.Cold}
 	v.Changed = append(v.Changed, id)
 }
@@ -182,7 +187,7 @@
 		wg.Go(func() {
 			all := t.Catalog.Cluster(s).Replicas()
 			p := all[rand.IntN(len(all))]
-			out := link.Request{Method: q.Method, Target: q.Target, Host: q.Host, Header: func() http.Header { return t.Header(q, p.Name(), rt.Timeout) }}
+			out := link.Request{ID: q.ID, Method: q.Method, Target: q.Target, Host: q.Host, Header: func() http.Header { return t.Header(q, p.Name(), rt.Timeout) }}
 			if resp, err := p.Link().Forward(ctx, out); err != nil || resp.Status != http.StatusOK {
 				missing.Add(1)
 			}
--- a/internal/experiment/topology/topology.go
+++ b/internal/experiment/topology/topology.go
@@ -3,6 +3,7 @@
 
 import (
 	"math/rand/v2"
+	"net"
 	"time"
 
 	"crocuswing/internal/routing/route"
@@ -24,6 +25,8 @@
 	// Cold is the remaining warm-up time with which the upstreams are registered.
 	Cold   time.Duration
 	Bounds deployment.Bounds
+	// WrapListener returns the listener on which an upstream serves in place of l; nil for l itself.
+	WrapListener func(l net.Listener) net.Listener
 }
 
 // Bounds holds the bounds of the users' smallest deployment.
--- a/internal/forward/runner/bench_test.go
+++ b/internal/forward/runner/bench_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -58,10 +59,10 @@
 	c.Update(v)
 	w := &testbed.Testbed{Published: v}
 	r := New(w, c, w, hist, metric.New(), zap.NewNop())
-	q := request.Request{ID: "q", Method: http.MethodGet, Target: "/x", Path: "/x", Host: "h", Header: http.Header{}}
+	q := request.Request{Method: http.MethodGet, Target: "/x", Path: "/x", Host: "h", Header: http.Header{}}
 	b.ReportAllocs()
-	for b.Loop() {
-		q.Arrived = time.Now()
+	for n := 0; b.Loop(); n++ {
+		q.ID, q.Arrived = strconv.Itoa(n), time.Now()
 		if rep := r.Run(context.Background(), q); rep.Status != http.StatusOK {
 			b.Fatalf("status %d: %s", rep.Status, rep.Reason)
 		}
--- a/internal/forward/runner/sender.go
+++ b/internal/forward/runner/sender.go
@@ -34,6 +34,7 @@
 	var res result
 	signals := cluster.Signals{Load: -1}
 	out := link.Request{
+		ID:            s.request.ID,
 		Method:        s.request.Method,
 		Target:        s.request.Target,
 		Host:          s.request.Host,
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -129,6 +129,7 @@
 	g.metrics.Gauge("crocuswing_legs_in_flight", func() float64 { return float64(g.subrequests.Used()) })
 	g.metrics.Gauge("crocuswing_large_bodies_bytes", func() float64 { return float64(g.bodies.Used() << 10) })
 	g.addConnectionGauges()
+	g.addLinkGauges()
 	g.metrics.Gauge("crocuswing_requests_in_flight", func() float64 { return float64(g.inFlight.Requests()) })
 	return g
 }
--- a/internal/serve/instance/link.go
+++ b/internal/serve/instance/link.go
@@ -21,6 +21,7 @@
 		"crocuswing_link_reused_total":        func(s link.Stats) float64 { return float64(s.Reused) },
 		"crocuswing_link_dial_failures_total": func(s link.Stats) float64 { return float64(s.DialFailures) },
 		"crocuswing_link_abandoned_total":     func(s link.Stats) float64 { return float64(s.Abandoned) },
+		"crocuswing_link_replaced_total":      func(s link.Stats) float64 { return float64(s.Replaced) },
 		"crocuswing_link_crossed_total":       func(s link.Stats) float64 { return float64(s.Crossed) },
 	}
 	for name, read := range gauges {
--- a/internal/soak/traffic/traffic.go
+++ b/internal/soak/traffic/traffic.go
@@ -130,7 +130,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	resp, err := l.Forward(ctx, link.Request{
-		Method: q.Method, Target: q.Path, Host: site.Host, Body: body,
+		ID: q.ID, Method: q.Method, Target: q.Path, Host: site.Host, Body: body,
 		Header: func() http.Header {
 			h := http.Header{headers.RequestID: {q.ID}, headers.Deadline: {strconv.FormatInt(q.Timeout.Milliseconds(), 10)}, "User-Agent": nil}
 			if q.Key != "" {
--- a/internal/upstream/link/forward.go
+++ b/internal/upstream/link/forward.go
@@ -22,6 +22,9 @@
 
 // Request is a request that Forward passes on unchanged.
 type Request struct {
+	// ID identifies the request in its response. No connection carries two requests with the same ID: CheckResponse could not tell a late
+	// copy of the response to the first one from the response to the second.
+	ID     string
 	Method string
 	// Target is the request target, spelled as the caller sent it.
 	Target string
@@ -43,7 +46,7 @@
 // *failure.Failure, whose NotRun is true if and only if no byte was sent.
 func (l *Link) Forward(ctx context.Context, req Request) (connection.Response, error) {
 	for {
-		c, err := l.acquire(ctx, req.NonIdempotent)
+		c, err := l.acquire(ctx, req)
 		if err != nil {
 			return connection.Response{}, l.acquireFailure(ctx, err)
 		}
@@ -54,11 +57,11 @@
 	}
 }
 
-func (l *Link) acquire(ctx context.Context, nonIdempotent bool) (*connection.Connection, error) {
-	if nonIdempotent {
-		return l.pool.AcquireWithMaxIdle(ctx, maxIdleNonIdempotent)
+func (l *Link) acquire(ctx context.Context, req Request) (*connection.Connection, error) {
+	if req.NonIdempotent {
+		return l.pool.AcquireWithMaxIdle(ctx, req.ID, maxIdleNonIdempotent)
 	}
-	return l.pool.Acquire(ctx)
+	return l.pool.Acquire(ctx, req.ID)
 }
 
 // beginForward starts an exchange that is never abandoned because of a stalled connection: the upstream may be processing the
--- a/internal/upstream/link/link.go
+++ b/internal/upstream/link/link.go
@@ -167,7 +167,7 @@
 		return signal.Signal{Load: -1}, l.newFailure(failure.KindIncomplete, true, err)
 	}
 	for {
-		c, err := l.pool.Acquire(ctx)
+		c, err := l.pool.Acquire(ctx, m.id)
 		if err != nil {
 			return signal.Signal{Load: -1}, l.acquireFailure(ctx, err)
 		}
--- a/internal/upstream/link/link_test.go
+++ b/internal/upstream/link/link_test.go
@@ -369,7 +369,7 @@
 		r := newRig(t, 1, 1, newUpstream(25))
 		defer r.stop()
 		require.NoError(t, r.sendPart(time.Second))
-		c, err := r.pool.Acquire(context.Background())
+		c, err := r.pool.Acquire(context.Background(), "1")
 		require.NoError(t, err)
 		r.listener.Conns()[0].Stall()
 		r.pool.Abandon(c, time.Now())
--- a/internal/upstream/pool/errors.go
+++ b/internal/upstream/pool/errors.go
@@ -39,10 +39,11 @@
 // Error returns a message with the address.
 func (e *DrainingError) Error() string { return "no new work for leaving upstream " + e.Address }
 
-// Stats counts the connections of a pool. DialTime is the total duration of the successful dials.
+// Stats counts the connections of a pool. DialTime is the total duration of the successful dials. Replaced counts idle connections that
+// were closed because they had carried the requests that waited.
 type Stats struct {
-	Opened, Reused, DialFailures, Abandoned int64
-	DialTime                                time.Duration
+	Opened, Reused, DialFailures, Abandoned, Replaced int64
+	DialTime                                          time.Duration
 	// Connections, Idle and AbandonedNow are current numbers.
 	Connections, Idle, AbandonedNow int
 }
@@ -53,6 +54,7 @@
 	s.Reused += o.Reused
 	s.DialFailures += o.DialFailures
 	s.Abandoned += o.Abandoned
+	s.Replaced += o.Replaced
 	s.DialTime += o.DialTime
 	s.Connections += o.Connections
 	s.Idle += o.Idle
--- a/internal/upstream/pool/open.go
+++ b/internal/upstream/pool/open.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		p.stats.DialFailures++
 		if len(p.waiters) > 0 && generation == p.generation {
-			p.deliver(grant{err: &DialError{Address: address, Err: err}})
+			p.deliver(0, grant{err: &DialError{Address: address, Err: err}})
 		}
 		p.serveWaiters()
 		return
--- a/internal/upstream/pool/pool.go
+++ b/internal/upstream/pool/pool.go
@@ -3,7 +3,7 @@
 //
 // A connection counts against the limit from the start of its dial until the upstream has closed its end, also across a change
 // of the upstream's address. One connection of the limit is held in reserve, so that an abandoned connection can be replaced
-// while it still counts.
+// while it still counts. No connection is handed out twice for requests with the same identifier.
 package pool
 
 import (
@@ -14,6 +14,7 @@
 	"time"
 
 	"crocuswing/internal/upstream/connection"
+	"crocuswing/internal/upstream/identifier"
 )
 
 const (
@@ -42,7 +43,7 @@
 	dialing    int                                   // dials in progress
 	conns      map[*connection.Connection]*connState // all that count against the limit
 	idle       []*connection.Connection              // the most recently used is last
-	waiters    []chan grant
+	waiters    []waiter                              // oldest first
 	stats      Stats
 }
 
@@ -51,13 +52,9 @@
 	generation int
 	busy       bool
 	abandoned  bool
+	isReplaced bool // closed because it had carried the requests that waited
 	idleSince  time.Time
-}
-
-// grant is the result of a wait: a connection or an error.
-type grant struct {
-	conn *connection.Connection
-	err  error
+	carried    identifier.History // of the requests for which it was acquired
 }
 
 // Option configures a Pool.
@@ -90,48 +87,23 @@
 
 // AcquireWithMaxIdle is like Acquire, but first closes the connections that were idle for longer than maxIdle, since the upstream
 // may have dropped them.
-func (p *Pool) AcquireWithMaxIdle(ctx context.Context, maxIdle time.Duration) (*connection.Connection, error) {
+func (p *Pool) AcquireWithMaxIdle(ctx context.Context, id string, maxIdle time.Duration) (*connection.Connection, error) {
 	p.mu.Lock()
 	p.closeUnusedSince(time.Now().Add(-maxIdle))
 	p.mu.Unlock()
-	return p.Acquire(ctx)
+	return p.Acquire(ctx, id)
 }
 
-// Acquire returns an idle connection, or else waits until one becomes idle, a new one is open or ctx ends. Each acquired
+// Acquire returns an idle connection for the request with the given identifier, or else waits until one becomes idle, a new one is open
+// or ctx ends. The connection was not acquired for a request with the same identifier before (see package identifier). Each acquired
 // connection requires one call of Release or Abandon. Acquire fails with *DialError, *ExhaustedError, *DrainingError, ErrClosed,
 // ErrBusy or the error of ctx; no byte was sent then.
-func (p *Pool) Acquire(ctx context.Context) (*connection.Connection, error) {
-	c, granted, err := p.takeOrWait()
+func (p *Pool) Acquire(ctx context.Context, id string) (*connection.Connection, error) {
+	c, granted, err := p.takeOrWait(id)
 	if c != nil || err != nil {
 		return c, err
 	}
-	select {
-	case g := <-granted:
-		return g.conn, g.err
-	case <-ctx.Done():
-		p.cancelWait(granted)
-		return nil, ctx.Err()
-	}
-}
-
-// takeOrWait takes an idle connection, or else adds a waiter and returns its channel.
-func (p *Pool) takeOrWait() (*connection.Connection, chan grant, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.isDraining() {
-		return nil, nil, &DrainingError{Address: p.address}
-	}
-	if c := p.takeIdle(); c != nil {
-		p.stats.Reused++
-		return c, nil, nil
-	}
-	if len(p.waiters) >= maxWaiters {
-		return nil, nil, ErrBusy
-	}
-	granted := make(chan grant, 1)
-	p.waiters = append(p.waiters, granted)
-	p.serveWaiters()
-	return nil, granted, nil
+	return p.await(ctx, granted)
 }
 
 // Preconnect starts to dial a connection if there are fewer than n, so that a later request does not wait for the dial. It reports
@@ -163,7 +135,7 @@
 		return // the upstream has already closed it
 	}
 	s.busy = false
-	if healthy && s.generation == p.generation && !p.closed && !p.closesIdle() && len(p.conns) <= p.maxConns && !c.IsClosed() {
+	if healthy && s.generation == p.generation && !p.closed && !p.closesIdle(s) && len(p.conns) <= p.maxConns && !c.IsClosed() {
 		s.idleSince = time.Now()
 		p.idle = append(p.idle, c)
 	} else {
@@ -225,8 +197,10 @@
 	}
 }
 
-// closesIdle reports whether a connection that becomes idle is closed.
-func (p *Pool) closesIdle() bool { return p.transient && len(p.waiters) == 0 }
+// closesIdle reports whether a connection that becomes idle is closed, since no waiter may use it.
+func (p *Pool) closesIdle(s *connState) bool {
+	return p.transient && !slices.ContainsFunc(p.waiters, func(w waiter) bool { return !s.carried.Has(w.id) })
+}
 
 // SetAddress changes the address of the upstream. Requests in flight finish on the connections to the previous address, which
 // count until they are closed.
@@ -339,86 +313,6 @@
 	return false
 }
 
-// takeIdle returns the most recently used idle connection that is still open, or nil.
-func (p *Pool) takeIdle() *connection.Connection {
-	for len(p.idle) > 0 && !p.closed {
-		last := len(p.idle) - 1
-		c := p.idle[last]
-		p.idle = p.idle[:last]
-		if s, ok := p.conns[c]; ok && !c.IsClosed() {
-			s.busy = true
-			return c
-		}
-	}
-	return nil
-}
-
-// serveWaiters assigns idle connections to the waiters and opens new connections for the remaining ones. If no connection can
-// become available, it fails them.
-func (p *Pool) serveWaiters() {
-	for len(p.waiters) > 0 {
-		c := p.takeIdle()
-		if c == nil {
-			break
-		}
-		p.deliver(grant{conn: c})
-	}
-	for p.dialing < len(p.waiters) && p.canOpen() {
-		p.dialing++
-		go p.open(p.address, p.generation)
-	}
-	if err := p.waitError(); err != nil {
-		for len(p.waiters) > 0 {
-			p.deliver(grant{err: err})
-		}
-	}
-}
-
-// waitError returns the reason why no connection can become available soon, or nil if one can.
-func (p *Pool) waitError() error {
-	if p.closed {
-		return ErrClosed
-	}
-	if p.isDraining() {
-		return &DrainingError{Address: p.address}
-	}
-	if p.dialing > 0 {
-		return nil
-	}
-	abandoned := 0
-	for _, s := range p.conns {
-		if s.busy && !s.abandoned {
-			return nil
-		}
-		if s.abandoned {
-			abandoned++
-		}
-	}
-	if abandoned == len(p.conns) && !p.canOpen() {
-		return &ExhaustedError{MaxConnections: p.maxConns, Abandoned: abandoned}
-	}
-	return nil
-}
-
-func (p *Pool) deliver(g grant) {
-	p.waiters[0] <- g
-	p.waiters = p.waiters[1:]
-}
-
-// cancelWait removes a waiter, or releases the connection that was granted to it in the meantime.
-func (p *Pool) cancelWait(granted chan grant) {
-	p.mu.Lock()
-	p.waiters = slices.DeleteFunc(p.waiters, func(w chan grant) bool { return w == granted })
-	p.mu.Unlock()
-	select {
-	case g := <-granted:
-		if g.conn != nil {
-			p.Release(g.conn, true)
-		}
-	default:
-	}
-}
-
 func (p *Pool) closeExpired() {
 	for len(p.idle) > 0 && time.Since(p.conns[p.idle[0]].idleSince) > idleTimeout {
 		p.closeOldest()
--- a/internal/upstream/pool/pool_test.go
+++ b/internal/upstream/pool/pool_test.go
@@ -63,11 +63,18 @@
 	pool      *Pool
 	listeners []*network.Listener
 	held      []*connection.Connection
+	carried   map[carriage]bool
+}
+
+// carriage is a request that was handed a connection.
+type carriage struct {
+	conn *connection.Connection
+	id   string
 }
 
 func newModel(t *rapid.T, limit int) *model {
 	net := network.New(time.Millisecond)
-	m := &model{limit: limit, pool: New(addressA, rapid.IntRange(1, limit).Draw(t, "share"), net.Dial)}
+	m := &model{limit: limit, carried: make(map[carriage]bool), pool: New(addressA, rapid.IntRange(1, limit).Draw(t, "share"), net.Dial)}
 	for _, address := range []string{addressA, addressB} {
 		l := net.Listen(address, limit)
 		m.listeners = append(m.listeners, l)
@@ -90,10 +97,13 @@
 	}
 }
 
-func (m *model) acquire(*rapid.T) {
+func (m *model) acquire(t *rapid.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
 	defer cancel()
-	if c, err := m.pool.Acquire(ctx); err == nil {
+	id := rapid.SampledFrom([]string{"q1", "q2", "q3", "q4"}).Draw(t, "id")
+	if c, err := m.pool.Acquire(ctx, id); err == nil {
+		require.False(t, m.carried[carriage{c, id}], "the connection has carried a request with this identifier")
+		m.carried[carriage{c, id}] = true
 		m.held = append(m.held, c)
 	}
 }
