fix(link): the connection of a misdirected request is closed

Nobody saw it: another upstream at a reused address answers 421 and may state no identifier, so that a response 421 without one counts as "not run" for whatever request waits on the connection. A late copy of it would do so for a request that the connection carries next. By the contract the same upstream refuses that one too, since the link asks for the upstream that was there before; the claim "not run" rested on this alone.

Change: after status 421 the connection is closed. It leads to another upstream and is of no use.

Test: TestMisdirectedConnection failed before (got 421 for the second request, which had run) and passes now.

--- a/internal/upstream/link/forward.go
+++ b/internal/upstream/link/forward.go
@@ -88,7 +88,8 @@
 			return connection.Response{}, x.mismatch(err)
 		}
 	}
-	x.release(true, !got.Close)
+	// The connection of a misdirected request leads to another upstream, whose responses may state no identifier.
+	x.release(true, !got.Close && got.Status != http.StatusMisdirectedRequest)
 	return got, nil
 }
 
--- a/internal/upstream/link/forward_test.go
+++ b/internal/upstream/link/forward_test.go
@@ -1,7 +1,9 @@
 package link
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -10,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"crocuswing/internal/standin/latecopy"
+	"crocuswing/internal/standin/network"
 	"crocuswing/internal/upstream/failure"
 	"crocuswing/internal/wire/header"
 
@@ -185,3 +189,40 @@
 		require.Zero(t, r.listener.OpenConns())
 	})
 }
+
+// TestMisdirectedConnection guards against a late copy of a response with status 421 that counts as the response to another request: it may
+// state no identifier, and says that the request did not run.
+func TestMisdirectedConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var requests atomic.Int64
+		net := network.New(dialTime)
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			if requests.Add(1) == 1 {
+				w.WriteHeader(http.StatusMisdirectedRequest)
+				return
+			}
+			w.Header().Set(header.RequestID, q.Header.Get(header.RequestID))
+		})}
+		l := net.Listen(address, 8)
+		go func() {
+			_ = server.Serve(latecopy.New(l, func(response []byte) bool { return bytes.Contains(response, []byte("421")) }))
+		}()
+		r := &rig{T: t, net: net, listener: l, server: server, Link: New("u", address, 4, WithDial(net.Dial))}
+		defer r.stop()
+		for _, want := range []int{http.StatusMisdirectedRequest, http.StatusOK} {
+			req := newRequest(http.MethodPost, "")
+			req.ID = fmt.Sprint(want)
+			req.Header = func() http.Header { return http.Header{header.RequestID: {req.ID}} }
+			req.CheckResponse = func(status int, h http.Header) error {
+				if status == http.StatusMisdirectedRequest && h.Get(header.RequestID) == "" {
+					return nil
+				}
+				return checkRequestID(req.ID, h.Get(header.RequestID))
+			}
+			got, err := r.Forward(t.Context(), req)
+			require.NoError(t, err)
+			require.Equal(t, want, got.Status)
+		}
+		require.EqualValues(t, 2, requests.Load())
+	})
+}
