test(soak): upstreams that shed send responses again, late

One upstream or all of a service shed at the same time, and send up to half of their responses a second time where the next response on the connection is due.

--- a/internal/soak/fault/fault.go
+++ b/internal/soak/fault/fault.go
@@ -8,8 +8,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -17,7 +15,6 @@
 	"crocuswing/internal/soak/record"
 	"crocuswing/internal/soak/site"
 	"crocuswing/internal/standin/proxy"
-	"crocuswing/internal/standin/replica"
 	"crocuswing/internal/task/pause"
 
 	"go.uber.org/zap"
@@ -34,8 +31,6 @@
 	maxFaultTime = 3 * time.Second
 	// maxFaultsPerPhase is the maximum number of faults started in one fault phase.
 	maxFaultsPerPhase = 8
-	// drainMargin is how long a draining upstream keeps serving beyond the drain time that it must observe.
-	drainMargin = time.Second
 	// exclusionTime is how long a failure domain is excluded.
 	exclusionTime = 7 * time.Second
 	// restartDelay is about the time that a process takes to start. It is the minimum wait before a restart, and between a
@@ -170,71 +165,10 @@
 	}, inj.upstreamDisruptions()...)
 }
 
-// upstreamDisruptions returns the disruptions of upstreams.
-func (inj *Injector) upstreamDisruptions() []action {
-	return []action{
-		{"upstream is slow", func(r *rand.Rand) {
-			u := inj.randomUpstream(r)
-			u.SetSlowdown(2 + 20*r.Float64())
-			inj.holdFault(r)
-			u.SetSlowdown(1)
-		}},
-		{"upstream answers wrongly", func(r *rand.Rand) {
-			u, kind, share := inj.randomUpstream(r), replica.Fault(1+r.IntN(int(replica.Unframed))), r.Float64()
-			u.SetFault(func(r *rand.Rand) replica.Fault {
-				if r.Float64() < share {
-					return kind
-				}
-				return replica.NoFault
-			})
-			inj.holdFault(r)
-			u.SetFault(func(*rand.Rand) replica.Fault { return replica.NoFault })
-		}},
-		{"upstream sheds", func(r *rand.Rand) {
-			u := inj.randomUpstream(r)
-			u.SetShed(r.Float64())
-			inj.holdFault(r)
-			u.SetShed(0)
-		}},
-		{"upstream asks for a pause", func(r *rand.Rand) {
-			u := inj.randomUpstream(r)
-			u.SetRetryAfter(100*time.Millisecond + time.Duration(r.Int64N(int64(2*time.Second))))
-			u.SetShed(r.Float64())
-			inj.holdFault(r)
-			u.SetShed(0)
-			u.SetRetryAfter(0)
-		}},
-		{"upstream announces that it leaves", func(r *rand.Rand) {
-			u := inj.randomUpstream(r)
-			u.SetLeaving(true)
-			inj.holdFault(r)
-			inj.reportError(u.Restart(time.Duration(r.Int64N(int64(time.Second)))))
-		}},
-		{"upstream restarts", func(r *rand.Rand) {
-			inj.reportError(inj.randomUpstream(r).Restart(time.Duration(r.Int64N(int64(time.Second)))))
-		}},
-		{"address is used again", func(r *rand.Rand) {
-			inj.reportError(inj.randomUpstream(r).ReassignAddress(inj.randomUpstream(r).Service()))
-		}},
-		{"registrations lapse", inj.expireRegistrations},
-	}
-}
-
 func (inj *Injector) randomInstance(r *rand.Rand) *site.Instance {
 	return inj.site.Instances[r.IntN(len(inj.site.Instances))]
 }
 
-// randomUpstream returns an upstream of the order, file or shard services. The three groups are equally likely, although there
-// are many more shards.
-func (inj *Injector) randomUpstream(r *rand.Rand) *site.Upstream {
-	prefix := []string{"orders", "files", "part"}[r.IntN(3)]
-	all := slices.DeleteFunc(inj.site.Upstreams(), func(u *site.Upstream) bool { return !strings.HasPrefix(u.Service(), prefix) })
-	if len(all) == 0 {
-		all = inj.site.Upstreams() // all upstreams of the group are restarting
-	}
-	return all[r.IntN(len(all))]
-}
-
 // holdFault sleeps for the random duration of a disruption, between a tenth of maxFaultTime and maxFaultTime.
 func (inj *Injector) holdFault(r *rand.Rand) {
 	time.Sleep(maxFaultTime/10 + time.Duration(r.Int64N(int64(maxFaultTime*9/10))))
@@ -308,15 +242,6 @@
 	inj.reportError(i.CorruptSettings(restartDelay))
 }
 
-// drainUpstream adds a replacement, drains the upstream and crashes it drainMargin after the drain time.
-func (inj *Injector) drainUpstream(u *site.Upstream) {
-	_, err := inj.site.AddUpstream(u.Service(), u.Domain())
-	inj.reportError(err)
-	u.Drain()
-	time.Sleep(site.Bounds.DrainTime + drainMargin)
-	u.Crash()
-}
-
 // excludeDomain excludes a random failure domain for exclusionTime.
 func (inj *Injector) excludeDomain(r *rand.Rand) {
 	inj.site.ExcludeDomainFor(site.Domains[r.IntN(len(site.Domains))], exclusionTime)
@@ -401,21 +326,3 @@
 	inj.site.Compact()
 	wg.Wait()
 }
-
-// expireRegistrations removes the registrations of some running upstreams while the store is unavailable. The upstreams register
-// again soon after the store has recovered.
-func (inj *Injector) expireRegistrations(r *rand.Rand) {
-	inj.site.SetStoreFault(func(http.ResponseWriter) bool { panic(http.ErrAbortHandler) })
-	var expired []*site.Upstream
-	for range 1 + r.IntN(4) {
-		u := inj.randomUpstream(r)
-		u.ExpireRegistration()
-		expired = append(expired, u)
-	}
-	inj.holdFault(r)
-	inj.site.SetStoreFault(nil)
-	time.Sleep(time.Duration(r.Int64N(int64(time.Second))))
-	for _, u := range expired {
-		u.RenewRegistration()
-	}
-}
--- a/internal/soak/site/upstream.go
+++ b/internal/soak/site/upstream.go
@@ -11,6 +11,7 @@
 
 	"crocuswing/internal/published/registration"
 	"crocuswing/internal/soak/record"
+	"crocuswing/internal/standin/latecopy"
 	"crocuswing/internal/standin/proxy"
 	"crocuswing/internal/standin/replica"
 
@@ -26,6 +27,8 @@
 
 	mu           sync.Mutex
 	registration registration.Registration
+	lateCopies   float64 // share of the responses that are sent a second time, late
+	random       *rand.Rand
 }
 
 // AddUpstream starts an upstream of a service in a failure domain behind a new address.
@@ -56,7 +59,7 @@
 	u := &Upstream{Proxy: p, site: s, registration: registration.Registration{
 		Upstream: name, Service: service, Address: p.Address(), FailureDomain: domain, Slots: slots, Cold: cold,
 		Incarnation: time.Now().UnixMilli(), Sequence: 1,
-	}}
+	}, random: rand.New(rand.NewPCG(xxhash.Sum64String(name), 6))}
 	u.Replica = replica.New(name, replica.Options{
 		HeaderNames: s.Headers(), Slots: slots, Queue: queueLimit, Records: RecordsPerPart, ReportsWork: reportsWork(service),
 		ServiceTime: func(r *rand.Rand) time.Duration {
@@ -65,7 +68,7 @@
 		Observe: func(a replica.Arrival) { s.AddArrival(record.Arrival{Arrival: a, Service: service, Domain: domain}) },
 	})
 	u.server = &http.Server{Handler: u.Replica, ReadHeaderTimeout: Timeout}
-	go func() { _ = u.server.Serve(l) }() // returns after close
+	go func() { _ = u.server.Serve(latecopy.New(l, u.isCopied)) }() // returns after close
 	p.SetTarget(l.Addr().String())
 	if cold > 0 {
 		s.MarkCold(name, true)
@@ -88,6 +91,19 @@
 // Domain returns the failure domain of the upstream.
 func (u *Upstream) Domain() string { return u.registration.FailureDomain }
 
+// SetLateCopies sets the share of the responses that the upstream sends a second time, late. Package latecopy says when.
+func (u *Upstream) SetLateCopies(share float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.lateCopies = share
+}
+
+func (u *Upstream) isCopied([]byte) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.random.Float64() < u.lateCopies
+}
+
 // RenewRegistration registers the upstream again, as upstreams do periodically, and no longer as cold. It does nothing if the
 // upstream has ended.
 func (u *Upstream) RenewRegistration() {
