refactor(runner): unusable responses are reported by a function of their own

The linter found the branch for crossed responses too much for record, and a parameter of newFailure that is always the same. The log line of responses that exceed a limit names the connection as well.

--- a/internal/forward/runner/sender.go
+++ b/internal/forward/runner/sender.go
@@ -87,21 +87,28 @@
 	*r = connection.Response{Status: r.Status, Header: r.Header, Body: records, Close: r.Close, Connection: r.Connection}
 }
 
+// reportUnusable logs and counts a response that exceeds a limit or belongs to another request.
+func (s *sender) reportUnusable(f *failure.Failure) {
+	fields := []zap.Field{zap.String("upstream", s.replica.Name()), zap.String("request-id", s.request.ID), zap.Uint64("connection", f.Connection)}
+	var limit *connection.LimitError
+	switch {
+	case errors.As(f, &limit):
+		s.meter.Count("crocuswing_upstream_oversized_responses_total")
+		s.log.Warn("response of an upstream exceeds a limit", append(fields, zap.Error(limit))...)
+	case f.Kind == failure.KindCrossed:
+		s.meter.Count("crocuswing_upstream_crossed_responses_total")
+		s.log.Warn("response of an upstream belongs to another request", append(fields, zap.Error(f.Err))...)
+	}
+}
+
 // record records the outcome of the attempt in the history, the cluster and the planner.
 func (s *sender) record(res result) {
 	now := time.Now()
 	name := s.replica.Name()
 	var f *failure.Failure
 	errors.As(res.err, &f)
-	var limit *connection.LimitError
-	if errors.As(res.err, &limit) {
-		s.meter.Count("crocuswing_upstream_oversized_responses_total")
-		s.log.Warn("response of an upstream exceeds a limit", zap.String("upstream", name), zap.String("request-id", s.request.ID), zap.Error(limit))
-	}
-	if f != nil && f.Kind == failure.KindCrossed {
-		s.meter.Count("crocuswing_upstream_crossed_responses_total")
-		s.log.Warn("response of an upstream belongs to another request", zap.String("upstream", name), zap.String("request-id", s.request.ID),
-			zap.Uint64("connection", f.Connection), zap.Error(f.Err))
+	if f != nil {
+		s.reportUnusable(f)
 	}
 	switch {
 	case f != nil && (f.Kind == failure.KindCanceled || f.Kind == failure.KindTimeout):
--- a/internal/upstream/link/link.go
+++ b/internal/upstream/link/link.go
@@ -164,7 +164,7 @@
 func (l *Link) sendMessage(ctx context.Context, m message) (signal.Signal, error) {
 	text, err := json.Marshal(m.body)
 	if err != nil {
-		return signal.Signal{Load: -1}, l.newFailure(failure.KindIncomplete, true, err)
+		return signal.Signal{Load: -1}, l.notSent(failure.KindIncomplete, err)
 	}
 	for {
 		c, err := l.pool.Acquire(ctx, m.id)
@@ -204,17 +204,18 @@
 	var draining *pool.DrainingError
 	switch {
 	case errors.As(err, &dial):
-		return l.newFailure(failure.KindRefused, true, err)
+		return l.notSent(failure.KindRefused, err)
 	case errors.As(err, &draining), errors.Is(err, pool.ErrClosed):
-		return l.newFailure(failure.KindForbidden, true, err)
+		return l.notSent(failure.KindForbidden, err)
 	case errors.Is(ctx.Err(), context.Canceled):
-		return l.newFailure(failure.KindCanceled, true, err)
+		return l.notSent(failure.KindCanceled, err)
 	case ctx.Err() != nil:
-		return l.newFailure(failure.KindTimeout, true, err)
+		return l.notSent(failure.KindTimeout, err)
 	}
-	return l.newFailure(failure.KindNoConnection, true, err)
+	return l.notSent(failure.KindNoConnection, err)
 }
 
-func (l *Link) newFailure(kind string, notRun bool, err error) error {
-	return &failure.Failure{Upstream: l.name, Kind: kind, NotRun: notRun, Err: err}
+// notSent returns the failure of an attempt that was not sent.
+func (l *Link) notSent(kind string, err error) error {
+	return &failure.Failure{Upstream: l.name, Kind: kind, NotRun: true, Err: err}
 }
