--- a/internal/forward/runner/latecopy_test.go
+++ b/internal/forward/runner/latecopy_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,9 +34,12 @@
 				s := orderShape()
 				s.Replicas = c.replicas
 				s.Route.NonIdempotent, s.Route.MaxAttempts = c.nonIdempotent, 1
+				var mu sync.Mutex // the listeners of all replicas share what follows
 				rng := rand.New(rand.NewPCG(1, 1))
 				copies := 0
 				isCopied := func(response []byte) bool {
+					mu.Lock()
+					defer mu.Unlock()
 					if !bytes.Contains(response, []byte(names.NotRun)) || rng.IntN(2) > 0 {
 						return false
 					}
