--- a/internal/upstream/pool/identifier_test.go
+++ b/internal/upstream/pool/identifier_test.go
@@ -49,6 +49,9 @@
 func (r *rig) stop() {
 	r.Close()
 	_ = r.listener.Close()
+	for _, c := range r.listener.Conns() {
+		_ = c.Close() // a stalled one does not end by itself
+	}
 	time.Sleep(2 * connection.LingerTimeout)
 }
 
@@ -140,3 +143,29 @@
 		require.Equal(t, c, r.use("q2"))
 	})
 }
+
+// TestReplacesOnePerWaiter checks that one idle connection is closed for a waiter while the upstream does not confirm the close.
+func TestReplacesOnePerWaiter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 3)
+		defer r.stop()
+		first, second := r.acquire("q1"), r.acquire("q1")
+		r.Release(first, true)
+		r.Release(second, true)
+		r.SetMaxConnections(2)
+		for _, c := range r.listener.Conns() {
+			c.Stall()
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		failed := make(chan error, 1)
+		go func() {
+			_, err := r.Acquire(ctx, "q1")
+			failed <- err
+		}()
+		synctest.Wait()
+		r.SetDraining(false) // serves the waiters again
+		require.EqualValues(t, 1, r.Stats().Replaced)
+		require.ErrorIs(t, <-failed, context.DeadlineExceeded)
+	})
+}
--- a/internal/upstream/pool/pool_test.go
+++ b/internal/upstream/pool/pool_test.go
@@ -63,18 +63,18 @@
 	pool      *Pool
 	listeners []*network.Listener
 	held      []*connection.Connection
-	carried   map[carriage]bool
+	carried   map[assignment]bool
 }
 
-// carriage is a request that was handed a connection.
-type carriage struct {
+// assignment is a connection that was handed out for a request.
+type assignment struct {
 	conn *connection.Connection
 	id   string
 }
 
 func newModel(t *rapid.T, limit int) *model {
 	net := network.New(time.Millisecond)
-	m := &model{limit: limit, carried: make(map[carriage]bool), pool: New(addressA, rapid.IntRange(1, limit).Draw(t, "share"), net.Dial)}
+	m := &model{limit: limit, carried: make(map[assignment]bool), pool: New(addressA, rapid.IntRange(1, limit).Draw(t, "share"), net.Dial)}
 	for _, address := range []string{addressA, addressB} {
 		l := net.Listen(address, limit)
 		m.listeners = append(m.listeners, l)
@@ -102,8 +102,8 @@
 	defer cancel()
 	id := rapid.SampledFrom([]string{"q1", "q2", "q3", "q4"}).Draw(t, "id")
 	if c, err := m.pool.Acquire(ctx, id); err == nil {
-		require.False(t, m.carried[carriage{c, id}], "the connection has carried a request with this identifier")
-		m.carried[carriage{c, id}] = true
+		require.False(t, m.carried[assignment{c, id}], "the connection has carried a request with this identifier")
+		m.carried[assignment{c, id}] = true
 		m.held = append(m.held, c)
 	}
 }
