--- a/internal/upstream/pool/identifier_test.go
+++ b/internal/upstream/pool/identifier_test.go
@@ -113,7 +113,7 @@
 // TestTransientWithWaiter checks that a connection that no waiter may use is closed in a pool that keeps none idle.
 func TestTransientWithWaiter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newRig(t, 3)
+		r := newRig(t, 4)
 		defer r.stop()
 		r.SetTransient(true)
 		first := r.acquire("q1")
